--- /dev/null
+++ b/cmd/coltsfootflow/main.go
@@ -0,0 +1,4 @@
+// Command coltsfootflow is a placeholder until its commands land.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/flow/clock_test.go
@@ -0,0 +1,43 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+func TestTimeArithmetic(t *testing.T) {
+	cases := map[string]struct {
+		start flow.Time
+		add   time.Duration
+		want  flow.Time
+	}{
+		"whole milliseconds":            {start: 10, add: 5 * time.Millisecond, want: 15},
+		"rounds towards the past":       {start: 10, add: 1900 * time.Microsecond, want: 11},
+		"never stays before everything": {start: flow.Never, add: 24 * time.Hour, want: flow.Never + 86400000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tc.start.Add(tc.add), tc.want)
+		})
+	}
+}
+
+func TestEveryReasonHasOneCompleteRow(t *testing.T) {
+	seen := map[flow.Reason]bool{}
+	for _, row := range flow.ReasonRows() {
+		t.Run(string(row.Reason), func(t *testing.T) {
+			is := is.New(t)
+			is.True(!seen[row.Reason])
+			seen[row.Reason] = true
+			is.True(row.Status >= 400)
+			is.True(row.Outcome == flow.OutcomeNotRun || row.Outcome == flow.OutcomeUnknown)
+			is.True(row.Title != "")
+			is.True(row.Help != "")
+		})
+	}
+}
