--- /dev/null
+++ b/internal/connection/dialer/dialer_test.go
@@ -0,0 +1,187 @@
+package dialer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+)
+
+func options(host string) framer.Options {
+	return framer.Options{
+		Self:   framer.Identity{Host: host},
+		Secret: []byte("sixteen characters"),
+		Limit:  1 << 16,
+	}
+}
+
+// relay forwards connections to a target and can swallow what the target says
+// on the connections open now.
+type relay struct {
+	accepting net.Listener
+	target    string
+	accepted  atomic.Int64
+
+	mu    sync.Mutex
+	muted []*atomic.Bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	accepting, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{accepting: accepting, target: target}
+	t.Cleanup(func() { _ = accepting.Close() })
+	go r.serve()
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		in, err := r.accepting.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		r.accepted.Add(1)
+		muted := &atomic.Bool{}
+		r.mu.Lock()
+		r.muted = append(r.muted, muted)
+		r.mu.Unlock()
+		go func() { _, _ = io.Copy(out, in); _ = out.Close() }()
+		go func() { _, _ = io.Copy(muteWriter{in, muted}, out); _ = in.Close() }()
+	}
+}
+
+func (r *relay) muteOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, muted := range r.muted {
+		muted.Store(true)
+	}
+}
+
+type muteWriter struct {
+	io.Writer
+	muted *atomic.Bool
+}
+
+func (w muteWriter) Write(b []byte) (int, error) {
+	if w.muted.Load() {
+		return len(b), nil
+	}
+	return w.Writer.Write(b)
+}
+
+func serve(t *testing.T, call endpoint.Endpoint) string {
+	t.Helper()
+	accepting, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &listener.Listener{
+		Options:   options("b"),
+		Endpoints: map[messenger.Call]endpoint.Endpoint{messenger.CallDraw: call},
+		Log:       logr.Discard(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Serve(ctx, accepting) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return accepting.Addr().String()
+}
+
+func echo(_ context.Context, request any) (any, error) {
+	var text string
+	err := request.(listener.Request).Decode(&text)
+	return text, err
+}
+
+func call(d *dialer.Dialer, address string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var answer string
+	err := d.Call(ctx, address, messenger.CallDraw, "hello", &answer)
+	return answer, err
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	r := newRelay(t, serve(t, echo))
+	address := r.accepting.Addr().String()
+	d := dialer.New(options("a"))
+	defer d.Close()
+
+	answer, err := call(d, address, 5*time.Second)
+	is.NoErr(err)
+	is.Equal(answer, "hello")
+
+	r.muteOpen()
+	_, err = call(d, address, 50*time.Millisecond)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+
+	answer, err = call(d, address, 5*time.Second)
+	is.NoErr(err) // a new connection took the place of the silent one
+	is.Equal(answer, "hello")
+	is.Equal(r.accepted.Load(), int64(2))
+}
+
+func TestCallErrorsNameStepAndPeer(t *testing.T) {
+	cases := map[string]struct {
+		call endpoint.Endpoint
+		want string
+	}{
+		"endpoint fails": {
+			call: func(context.Context, any) (any, error) { return nil, errors.New("not the owner") },
+			want: "not the owner",
+		},
+		"answer of another type": {
+			call: func(context.Context, any) (any, error) { return []int{1}, nil },
+			want: "decode draw",
+		},
+		"malformed request closes the connection": {
+			call: func(_ context.Context, request any) (any, error) {
+				var wrong struct{ A []int }
+				return nil, request.(listener.Request).Decode(&wrong)
+			},
+			want: "EOF",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, tc.call)
+			d := dialer.New(options("a"))
+			defer d.Close()
+			_, err := call(d, address, 5*time.Second)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), tc.want))
+			is.True(strings.HasPrefix(err.Error(), "draw: "+address))
+		})
+	}
+}
--- /dev/null
+++ b/internal/connection/sealer/sealer.go
@@ -0,0 +1,136 @@
+// Package sealer wraps connections so that the end of an attempt can be made
+// certain: sealing a connection stops every later write and tells whether any
+// byte of the attempt went out.
+//
+// An error of an HTTP client says that an attempt failed, not whether the
+// other end may have seen it. An attempt whose connection was sealed before
+// its first byte certainly did not run.
+package sealer
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of sealed connections.
+var Error = errs.Class("connection")
+
+// Conn is a connection that counts what is written and can be sealed.
+type Conn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	written  int64 // bytes
+	sealed   bool
+	openedAt time.Time
+	readAt   time.Time
+}
+
+// NewConn wraps conn.
+func NewConn(conn net.Conn) *Conn {
+	now := time.Now()
+	return &Conn{Conn: conn, openedAt: now, readAt: now}
+}
+
+// Write writes to the connection unless it is sealed.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, Error.New("sealed")
+	}
+	n, err := c.Conn.Write(b)
+	c.written += int64(n)
+	return n, err
+}
+
+// Read reads from the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.readAt = time.Now()
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// seal stops later writes, closes the connection, and returns the number of
+// bytes that were ever written.
+func (c *Conn) seal() int64 {
+	// Closing first makes a write that is blocked return, and give up the lock.
+	_ = c.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+func (c *Conn) bytesWritten() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// -----------------------------------------------------------------------------
+
+// Attempt follows one attempt of an HTTP request over the connections that the
+// transport gives it. It is safe for use by many goroutines.
+type Attempt struct {
+	mu       sync.Mutex
+	conn     *Conn
+	start    int64 // bytes written to conn before the attempt
+	touched  bool  // bytes went out on an earlier connection of the attempt
+	obtained bool
+	sealed   bool
+}
+
+// Trace returns a context under which an HTTP transport reports the attempt's
+// connections. The transport's dialer must wrap its connections with NewConn.
+func (a *Attempt) Trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+}
+
+func (a *Attempt) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*Conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !ok {
+		a.touched = true
+		return
+	}
+	if a.sealed {
+		conn.seal()
+		return
+	}
+	if a.conn != nil && a.conn.bytesWritten() > a.start {
+		a.touched = true
+	}
+	a.obtained = true
+	a.conn = conn
+	a.start = conn.bytesWritten()
+}
+
+// Seal ends the attempt after an error: nothing more of it goes out. It
+// reports whether the attempt certainly sent no byte.
+func (a *Attempt) Seal() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sealed = true
+	if a.conn == nil {
+		return !a.touched
+	}
+	return a.conn.seal() == a.start && !a.touched
+}
+
+// Connected reports whether the attempt ever had a connection.
+func (a *Attempt) Connected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.obtained
+}
