--- /dev/null
+++ b/cmd/coltsfootflow/check.go
@@ -0,0 +1,58 @@
+// The command that checks settings and records before they are published.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/commander"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+	"github.com/coltsfootflow/coltsfootflow/pkg/parser"
+)
+
+func checkCommand() commander.Command {
+	return commander.Command{
+		Name:    "check",
+		Usage:   "DIRECTORY|FILE ...",
+		Summary: "checks directories of records and files of settings",
+		Help: `
+A directory holds records, as they are published; every file in it that ends
+with .json or .hujson is read. A file holds the settings of a daemon. Every
+fault is listed with its file, line and field. The exit code is 0 when all is
+well and 2 when there are faults.`,
+		Run: func(_ context.Context, streams commander.Streams, args []string) error {
+			if len(args) == 0 {
+				return commander.Usagef("no directory or file is named")
+			}
+			var faults []error
+			for _, path := range args {
+				summary, found := check(path)
+				faults = append(faults, found...)
+				if len(found) == 0 {
+					fmt.Fprintf(streams.Out, "%s: %s\n", path, summary)
+				}
+			}
+			if len(faults) > 0 {
+				return badInput(faults)
+			}
+			return nil
+		},
+	}
+}
+
+// check returns what is well at a path, or its faults.
+func check(path string) (string, []error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", []error{flow.Wrap("check", path, err)}
+	}
+	if !info.IsDir() {
+		_, faults := parser.ReadSettings(path)
+		return "settings are well", faults
+	}
+	records, faults := parser.ReadRecords(path)
+	faults = append(faults, parser.CheckRecords(records)...)
+	return fmt.Sprintf("%d records are well", len(records)), faults
+}
--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
-	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -24,17 +23,29 @@
 type Conn struct {
 	net.Conn
 
-	mu       sync.Mutex
-	written  int64 // bytes
-	sealed   bool
-	openedAt time.Time
-	readAt   time.Time
+	onClose func()
+	closing sync.Once
+
+	mu      sync.Mutex
+	written int64 // bytes
+	sealed  bool
+}
+
+// NewConn wraps conn. When the connection is first closed, onClose is called
+// if it is not nil.
+func NewConn(conn net.Conn, onClose func()) *Conn {
+	return &Conn{Conn: conn, onClose: onClose}
 }
 
-// NewConn wraps conn.
-func NewConn(conn net.Conn) *Conn {
-	now := time.Now()
-	return &Conn{Conn: conn, openedAt: now, readAt: now}
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.closing.Do(func() {
+		if c.onClose != nil {
+			c.onClose()
+		}
+	})
+	return err
 }
 
 // Write writes to the connection unless it is sealed.
@@ -49,17 +60,6 @@
 	return n, err
 }
 
-// Read reads from the connection.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		c.readAt = time.Now()
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
 // seal stops later writes, closes the connection, and returns the number of
 // bytes that were ever written.
 func (c *Conn) seal() int64 {
--- a/internal/connection/sealer/sealer_test.go
+++ b/internal/connection/sealer/sealer_test.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return sealer.NewConn(conn), nil
+		return sealer.NewConn(conn, nil), nil
 	}}
 }
 
@@ -120,7 +120,7 @@
 	p := newPeer(t, readAll)
 	raw, err := net.Dial("tcp", p.accepting.Addr().String())
 	is.NoErr(err)
-	conn := sealer.NewConn(raw)
+	conn := sealer.NewConn(raw, nil)
 	sealer.Seal(conn)
 	_, err = conn.Write([]byte("late"))
 	is.True(sealer.Error.Has(err) || errors.Is(err, net.ErrClosed))
--- /dev/null
+++ b/internal/process/controller/heartbeat.go
@@ -0,0 +1,213 @@
+// The heartbeat exchange: proofs of freshness, and with them the records that
+// one side misses.
+
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/prover"
+	"github.com/coltsfootflow/coltsfootflow/internal/version/merger"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	// heartbeatTimeout bounds one exchange.
+	heartbeatTimeout = time.Second
+	// deltaLimit is about the most bytes of records in one answer.
+	deltaLimit = 256 << 10
+)
+
+// HeartbeatRequest asks a peer for a proof, and for the records that the asker
+// misses.
+type HeartbeatRequest struct {
+	Proof prover.Request `msgpack:"p"`
+	Delta merger.Request `msgpack:"d"`
+}
+
+// HeartbeatAnswer is the answer to a HeartbeatRequest.
+type HeartbeatAnswer struct {
+	Proof prover.Answer `msgpack:"p"`
+	Delta *merger.Delta `msgpack:"d,omitempty"` // nil when the answerer has nothing newer
+}
+
+// FetchRequest asks for versions of the member list.
+type FetchRequest struct {
+	Lists []prover.ListID `msgpack:"l"`
+}
+
+// FetchAnswer holds those of the versions that the answerer keeps.
+type FetchAnswer struct {
+	Lists []prover.MemberList `msgpack:"l"`
+}
+
+// -----------------------------------------------------------------------------
+
+// heartbeats asks the peers of this round.
+func (c *Controller) heartbeats(now flow.Time) {
+	targets := c.prover.Targets(now)
+	for _, host := range targets {
+		if record, ok := c.index.Host(host); ok {
+			c.heartbeat(record.PeerAddress)
+		}
+	}
+	if len(targets) > 0 && c.status.Acting {
+		return
+	}
+	for _, seed := range c.Settings.Seeds {
+		if seed != c.Settings.Addresses.DialledPeer() {
+			c.heartbeat(seed)
+		}
+	}
+}
+
+// heartbeat makes one exchange with the daemon at an address, unless one is on
+// the way.
+func (c *Controller) heartbeat(address string) {
+	if c.asking[address] {
+		return
+	}
+	c.asking[address] = true
+	sentAt := c.Clock.Now()
+	request := HeartbeatRequest{Proof: c.prover.Request(sentAt), Delta: c.merger.Next()}
+	c.start(heartbeatTimeout, func(ctx context.Context) {
+		var answer HeartbeatAnswer
+		err := c.Dialer.Call(ctx, address, messenger.CallHeartbeat, request, &answer)
+		c.post(c.ctx, func() {
+			delete(c.asking, address)
+			if err != nil {
+				c.Log.V(1).Info("heartbeat failed", "step", "heartbeat", "peer", address, "cause", err.Error())
+				return
+			}
+			c.observe(sentAt, address, answer)
+		})
+	})
+}
+
+// observe takes an answer: first the records, so that a newer revision that the
+// proof tells of is in force already, then the proof.
+func (c *Controller) observe(sentAt flow.Time, address string, answer HeartbeatAnswer) {
+	now := c.Clock.Now()
+	if answer.Delta != nil {
+		c.merge(now, *answer.Delta)
+	}
+	heard := c.prover.Observe(now, sentAt, answer.Proof)
+	c.merger.Heard(heard.Highest)
+	c.Timekeeper.Observe(now, answer.Proof.From, answer.Proof.Incarnation, answer.Proof.Now)
+	c.publish(now)
+	if len(heard.Missing) > 0 {
+		c.fetchLists(address, heard.Missing)
+		return
+	}
+	if answer.Delta != nil && c.merger.Applied() < answer.Proof.Applied {
+		c.heartbeat(address)
+	}
+}
+
+// fetchLists fetches versions of the member list that a peer named, and then
+// asks it again, since its answers prove nothing without them.
+func (c *Controller) fetchLists(address string, ids []prover.ListID) {
+	c.start(heartbeatTimeout, func(ctx context.Context) {
+		var answer FetchAnswer
+		err := c.Dialer.Call(ctx, address, messenger.CallFetch, FetchRequest{Lists: ids}, &answer)
+		if err != nil {
+			c.Log.V(1).Info("fetch failed", "step", "fetch", "peer", address, "cause", err.Error())
+			return
+		}
+		c.post(c.ctx, func() {
+			for _, list := range answer.Lists {
+				c.prover.Learn(list)
+			}
+			c.heartbeat(address)
+		})
+	})
+}
+
+// -----------------------------------------------------------------------------
+
+// Endpoints returns the calls that other daemons may make.
+func (c *Controller) Endpoints() map[messenger.Call]endpoint.Endpoint {
+	return map[messenger.Call]endpoint.Endpoint{
+		messenger.CallHeartbeat: c.answerHeartbeat,
+		messenger.CallFetch:     c.answerFetch,
+		messenger.CallDraw:      c.answerDraw,
+		messenger.CallReport:    c.answerReport,
+		messenger.CallCede:      c.answerCede,
+		messenger.CallClaim:     c.answerClaim,
+	}
+}
+
+func (c *Controller) answerHeartbeat(ctx context.Context, request any) (any, error) {
+	var asked HeartbeatRequest
+	if err := request.(listener.Request).Decode(&asked); err != nil {
+		return nil, err
+	}
+	var answer HeartbeatAnswer
+	return &answer, c.answerOn(ctx, func() error {
+		now := c.Clock.Now()
+		answer.Proof = c.prover.Answer(now, asked.Proof)
+		c.merger.Heard(asked.Proof.Highest)
+		if asked.Delta.From < c.merger.Applied() || asked.Delta.Full {
+			delta := c.merger.Delta(asked.Delta, deltaLimit)
+			answer.Delta = &delta
+		}
+		c.pull(asked.Proof)
+		return nil
+	})
+}
+
+// pull asks a peer at once that knows a newer revision.
+func (c *Controller) pull(asker prover.Request) {
+	if asker.Highest <= c.merger.Applied() {
+		return
+	}
+	if record, ok := c.index.Host(asker.From); ok {
+		c.heartbeat(record.PeerAddress)
+	}
+}
+
+func (c *Controller) answerFetch(ctx context.Context, request any) (any, error) {
+	var asked FetchRequest
+	if err := request.(listener.Request).Decode(&asked); err != nil {
+		return nil, err
+	}
+	var answer FetchAnswer
+	return &answer, c.answerOn(ctx, func() error {
+		answer.Lists = c.prover.Lists(asked.Lists)
+		return nil
+	})
+}
+
+// answerOn runs the answer to a call on the control goroutine.
+func (c *Controller) answerOn(ctx context.Context, answer func() error) error {
+	var err error
+	if !c.Do(ctx, func() { err = answer() }) {
+		return errStopped
+	}
+	return err
+}
+
+// Learn asks a host for its clock, which a heartbeat brings.
+func (c *Controller) Learn(ctx context.Context, host *flow.Host) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var request HeartbeatRequest
+	if !c.Do(ctx, func() {
+		request = HeartbeatRequest{Proof: c.prover.Request(c.Clock.Now()), Delta: c.merger.Next()}
+	}) {
+		return errStopped
+	}
+	sentAt := c.Clock.Now()
+	var answer HeartbeatAnswer
+	if err := c.Dialer.Call(ctx, host.PeerAddress, messenger.CallHeartbeat, request, &answer); err != nil {
+		return err
+	}
+	c.Timekeeper.Observe(c.Clock.Now(), answer.Proof.From, answer.Proof.Incarnation, answer.Proof.Now)
+	c.post(ctx, func() { c.observe(sentAt, host.PeerAddress, answer) })
+	return nil
+}
--- /dev/null
+++ b/internal/process/controller/status.go
@@ -0,0 +1,164 @@
+// The status of a daemon for operators.
+
+package controller
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/prover"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// faultsShown bounds the faults of records in a status.
+const faultsShown = 20
+
+// Status is the state of a daemon.
+type Status struct {
+	Host     string         `json:"host"`
+	Region   string         `json:"region"`
+	Zone     string         `json:"availability-zone"`
+	Lease    LeaseStatus    `json:"lease"`
+	Revision RevisionStatus `json:"revision"`
+	Owned    OwnedStatus    `json:"owned"`
+	Servers  []ServerStatus `json:"backend-servers"`
+}
+
+// LeaseStatus is the state of the freshness lease.
+type LeaseStatus struct {
+	Acting   bool   `json:"acting"`
+	Reason   string `json:"reason"`
+	LeftMs   int64  `json:"left-ms"`
+	Standing string `json:"standing"`
+	Members  int    `json:"members"` // hosts in the region's list
+	Proved   int    `json:"proved"`  // of these, proved within the lease time
+	Stopping bool   `json:"stopping"`
+}
+
+// RevisionStatus is the state of the configuration.
+type RevisionStatus struct {
+	Applied     flow.Revision `json:"applied"`
+	Highest     flow.Revision `json:"highest"`
+	Settled     flow.Revision `json:"settled"`
+	Records     int           `json:"records"`
+	Watching    bool          `json:"watching"` // whether this daemon holds a watch at the platform
+	Faults      int           `json:"faults"`   // records whose latest version is not in force
+	FaultsShown []RecordFault `json:"fault-list,omitempty"`
+}
+
+// RecordFault is a record whose latest version is not in force.
+type RecordFault struct {
+	Kind     flow.Kind     `json:"kind"`
+	Name     string        `json:"name"`
+	Revision flow.Revision `json:"revision"`
+	InForce  flow.Revision `json:"revision-in-force"` // 0 for none
+	Problem  string        `json:"problem"`
+}
+
+// OwnedStatus is what this daemon owns.
+type OwnedStatus struct {
+	Buckets  int      `json:"rate-buckets"` // in use
+	Services []string `json:"services"`     // whose ejections it decides
+}
+
+// ServerStatus is the state of the gate of one backend server of the host.
+type ServerStatus struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	State       string `json:"state"`
+	Limit       int    `json:"limit"`
+	InFlight    int    `json:"in-flight"`
+	Waiting     int    `json:"waiting"`
+	Connections int    `json:"connections"`
+	LatencyMs   int64  `json:"latency-ms"`
+	Refusals    uint64 `json:"refusals"`
+}
+
+// standingNames are the names of standings in kebab case.
+var standingNames = map[prover.Standing]string{
+	prover.StandingJoining:  "joining",
+	prover.StandingFounding: "founding",
+	prover.StandingMember:   "member",
+}
+
+// Status returns the state of the daemon, or false when it has stopped.
+func (c *Controller) Status(ctx context.Context) (Status, bool) {
+	var status Status
+	ok := c.Do(ctx, func() { status = c.describe(c.Clock.Now()) })
+	return status, ok
+}
+
+func (c *Controller) describe(now flow.Time) Status {
+	return Status{
+		Host:     c.Settings.Host,
+		Region:   c.Settings.Region,
+		Zone:     c.Settings.AvailabilityZone,
+		Lease:    c.describeLease(now),
+		Revision: c.describeRevision(),
+		Owned:    c.describeOwned(),
+		Servers:  c.describeServers(),
+	}
+}
+
+func (c *Controller) describeLease(now flow.Time) LeaseStatus {
+	return LeaseStatus{
+		Acting:   c.mayAct(now),
+		Reason:   string(c.status.Reason),
+		LeftMs:   max(c.status.LeaseUntil.Sub(now), 0).Milliseconds(),
+		Standing: standingNames[c.status.Standing],
+		Members:  c.status.Members,
+		Proved:   c.status.ProvedMembers,
+		Stopping: c.stopping,
+	}
+}
+
+func (c *Controller) describeRevision() RevisionStatus {
+	status := RevisionStatus{
+		Applied:  c.merger.Applied(),
+		Highest:  c.merger.Highest(),
+		Settled:  c.status.Settled,
+		Records:  c.merger.Len(),
+		Watching: c.watching,
+		Faults:   c.merger.FaultCount(),
+	}
+	for _, fault := range c.merger.Faults(faultsShown) {
+		status.FaultsShown = append(status.FaultsShown, RecordFault{
+			Kind:     fault.ID.Kind,
+			Name:     fault.ID.Name,
+			Revision: fault.Revision,
+			InForce:  fault.GoodRevision,
+			Problem:  fault.Problem,
+		})
+	}
+	return status
+}
+
+func (c *Controller) describeOwned() OwnedStatus {
+	owned := OwnedStatus{Buckets: c.granter.Len(), Services: []string{}}
+	for service := range c.ejectors {
+		owned.Services = append(owned.Services, service)
+	}
+	slices.Sort(owned.Services)
+	return owned
+}
+
+func (c *Controller) describeServers() []ServerStatus {
+	servers := []ServerStatus{}
+	for name, s := range c.senders {
+		figures := s.Figures()
+		servers = append(servers, ServerStatus{
+			Name:        name,
+			Service:     s.Server().Service,
+			State:       figures.State.String(),
+			Limit:       figures.Limit,
+			InFlight:    figures.InFlight,
+			Waiting:     figures.Waiting,
+			Connections: figures.Connections,
+			LatencyMs:   figures.Latency.Milliseconds(),
+			Refusals:    figures.Refusals,
+		})
+	}
+	slices.SortFunc(servers, func(a, b ServerStatus) int { return strings.Compare(a.Name, b.Name) })
+	return servers
+}
--- /dev/null
+++ b/internal/process/drawer/pool.go
@@ -0,0 +1,400 @@
+// Pool leases tokens from the owners of a customer's shares. It holds a stock
+// for the requests of the next moments, and lets a request wait for tokens that
+// are on the way.
+
+package drawer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// Identity names the ingress and the cut of one customer's rate.
+type Identity struct {
+	Customer    string
+	Host        string
+	Incarnation uint64 // of the process; differs for each start of a host's daemon
+	Shares      int
+	Home        int           // share that is asked first
+	Limit       granter.Limit // of the region
+}
+
+// Counter numbers the requests of one process. All pools of the process share
+// one.
+type Counter struct {
+	last uint64
+}
+
+// Next returns the next number.
+func (c *Counter) Next() uint64 {
+	c.last++
+	return c.last
+}
+
+// Pool is the Source that leases. The caller locks it.
+type Pool struct {
+	identity  Identity
+	settings  Settings
+	counter   *Counter
+	demand    demand
+	shares    []*share
+	waiting   []waiter
+	lastDraw  flow.Time
+	thinUntil flow.Time // an owner had too little for a stock
+}
+
+type waiter struct {
+	ticket   Ticket
+	deadline flow.Time
+}
+
+// NewPool returns a pool that holds nothing.
+func NewPool(identity Identity, settings Settings, counter *Counter) *Pool {
+	p := &Pool{
+		identity:  identity,
+		settings:  settings,
+		counter:   counter,
+		shares:    make([]*share, max(identity.Shares, 1)),
+		lastDraw:  flow.Never,
+		thinUntil: flow.Never,
+	}
+	for i := range p.shares {
+		p.shares[i] = &share{
+			index:     i,
+			ask:       ask{closed: true},
+			answered:  counter.last,
+			dryUntil:  flow.Never,
+			saidNoAt:  flow.Never,
+			awayUntil: flow.Never,
+			levelAt:   flow.Never,
+			newsAt:    flow.Never,
+		}
+	}
+	return p
+}
+
+// Draw takes a token, or lets the request wait for tokens on the way, or
+// refuses it when every owner that can be reached said no lately.
+func (p *Pool) Draw(now flow.Time) Decision {
+	p.demand.add(now, p.settings.Averaging)
+	p.lastDraw = now
+	p.recall(now)
+	if len(p.waiting) == 0 {
+		if token, ok := p.take(now); ok {
+			return Decision{Taken: true, Token: token, Ask: p.plan(now)}
+		}
+	}
+	if len(p.waiting) >= p.settings.MaxWaiting {
+		return p.refusal(now)
+	}
+	ticket := Ticket(p.counter.Next())
+	p.waiting = append(p.waiting, waiter{ticket, now.Add(p.settings.WaitLimit)})
+	asks := p.plan(now)
+	if len(p.waiting) > p.room(now) {
+		p.Cancel(now, ticket)
+		refusal := p.refusal(now)
+		refusal.Ask = asks
+		return refusal
+	}
+	return Decision{Wait: true, Ticket: ticket, Ask: asks}
+}
+
+// Cancel ends the wait of a request.
+func (p *Pool) Cancel(_ flow.Time, ticket Ticket) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return w.ticket == ticket })
+}
+
+// GiveBack returns a token whose request certainly did not run to its lease,
+// where it can be drawn again while the lease lives.
+func (p *Pool) GiveBack(now flow.Time, token Token) Effects {
+	_, l := p.drawn(token)
+	if l == nil {
+		return Effects{}
+	}
+	l.free++
+	return p.proceed(now)
+}
+
+// Spent reports that the request of a token has begun to run.
+func (p *Pool) Spent(now flow.Time, token Token, ago time.Duration) {
+	s, l := p.drawn(token)
+	if l == nil {
+		return
+	}
+	l.used++
+	l.lastUse = max(l.lastUse, now.Add(-ago))
+	s.note(now)
+}
+
+// drawn returns the lease of a token that is drawn, or nil when the lease is
+// forgotten, belongs to a former cut, or has no drawn token.
+func (p *Pool) drawn(token Token) (*share, *lease) {
+	if token.Share >= len(p.shares) {
+		return nil, nil
+	}
+	s := p.shares[token.Share]
+	l := s.lease(token.Lease)
+	if l == nil || l.free+l.used+l.returned >= l.granted {
+		return nil, nil
+	}
+	return s, l
+}
+
+// Answered takes an owner's answer. Only the answer to the latest request to
+// the share counts, and only once.
+func (p *Pool) Answered(now flow.Time, answer granter.Answer) Effects {
+	if answer.Share < 0 || answer.Share >= len(p.shares) || answer.Shares != len(p.shares) {
+		return Effects{}
+	}
+	s := p.shares[answer.Share]
+	if s.ask.closed || s.ask.sequence != answer.Sequence {
+		return Effects{}
+	}
+	s.ask.closed = true
+	s.answered = answer.Sequence
+	s.failures = 0
+	s.awayUntil = flow.Never
+	s.level = float64(answer.Level)
+	s.levelAt = now
+	s.acknowledge(now, s.ask.reports)
+	p.receive(s, answer)
+	p.remember(now, s, answer)
+	return p.proceed(now)
+}
+
+func (p *Pool) receive(s *share, answer granter.Answer) {
+	if answer.Granted <= 0 {
+		return
+	}
+	s.leases = append(s.leases, &lease{
+		id:      answer.Sequence,
+		granted: answer.Granted,
+		free:    answer.Granted,
+		expiry:  s.ask.sentAt.Add(answer.Lifetime),
+		recall:  s.ask.sentAt.Add(answer.Lifetime - answer.Lifetime/leaseReserve),
+		lastUse: flow.Never,
+	})
+}
+
+// remember keeps in mind that the owner had too little.
+func (p *Pool) remember(now flow.Time, s *share, answer granter.Answer) {
+	if answer.Granted >= s.ask.want {
+		return
+	}
+	until := now.Add(min(answer.RetryAfter, p.settings.DryLimit))
+	p.thinUntil = max(until, now.Add(p.settings.Horizon/2))
+	if answer.Granted < s.ask.waiting {
+		s.dryUntil = until
+		s.saidNoAt = until
+	}
+}
+
+// Failed reports that a request to an owner was not answered, or not by an
+// owner that acts.
+func (p *Pool) Failed(now flow.Time, index int, sequence uint64) Effects {
+	if index < 0 || index >= len(p.shares) {
+		return Effects{}
+	}
+	s := p.shares[index]
+	if s.ask.closed || s.ask.sequence != sequence {
+		return Effects{}
+	}
+	s.ask.closed = true
+	p.turnAway(now, s)
+	return p.proceed(now)
+}
+
+func (p *Pool) turnAway(now flow.Time, s *share) {
+	backoff := p.settings.AwayLimit
+	if s.failures < maxDoublings {
+		backoff = min(p.settings.AwayFirst<<s.failures, p.settings.AwayLimit)
+	}
+	s.failures++
+	s.awayUntil = now.Add(backoff)
+	s.renote(now)
+}
+
+const maxDoublings = 10
+
+// Tick times out silent owners, returns tokens that are near their end or not
+// needed, reports, and refuses requests that have waited long enough.
+func (p *Pool) Tick(now flow.Time) Effects {
+	for _, s := range p.shares {
+		if !s.ask.closed && !s.ask.overdue && now.Sub(s.ask.sentAt) >= p.settings.AskTimeout {
+			s.ask.overdue = true
+			p.turnAway(now, s)
+		}
+	}
+	p.recall(now)
+	p.trim(now)
+	return p.proceed(now)
+}
+
+// Due returns when Tick is needed next.
+func (p *Pool) Due(now flow.Time) flow.Time {
+	due := now.Add(p.settings.IdleAfter)
+	if len(p.waiting) > 0 {
+		due = min(due, p.waiting[0].deadline)
+	}
+	for _, s := range p.shares {
+		due = min(due, p.dueOf(now, s))
+	}
+	return max(due, now+1)
+}
+
+func (p *Pool) dueOf(now flow.Time, s *share) flow.Time {
+	due := now.Add(p.settings.IdleAfter)
+	if !s.ask.closed && !s.ask.overdue {
+		due = min(due, s.ask.sentAt.Add(p.settings.AskTimeout))
+		if hedge := s.ask.sentAt.Add(p.settings.HedgeAfter); now.Before(hedge) {
+			due = min(due, hedge)
+		}
+	}
+	if s.newsAt != flow.Never {
+		due = min(due, max(s.newsAt.Add(p.reportDelay()), s.awayUntil))
+	}
+	if len(p.waiting) > 0 && (s.dry(now) || s.away(now)) {
+		due = min(due, max(s.dryUntil, s.awayUntil))
+	}
+	for _, l := range s.leases {
+		if l.free > 0 {
+			due = min(due, l.recall, now.Add(p.settings.Averaging))
+		} else {
+			due = min(due, l.expiry.Add(deadAfter)+1)
+		}
+	}
+	return due
+}
+
+// Idle reports whether there is nothing to lose by forgetting the pool.
+func (p *Pool) Idle(now flow.Time) bool {
+	if len(p.waiting) > 0 || now.Sub(p.lastDraw) < p.settings.IdleAfter {
+		return false
+	}
+	for _, s := range p.shares {
+		if len(s.leases) > 0 || s.pending() {
+			return false
+		}
+	}
+	return true
+}
+
+// Held returns the tokens in stock.
+func (p *Pool) Held() int {
+	sum := 0
+	for _, s := range p.shares {
+		sum += s.free()
+	}
+	return sum
+}
+
+// -----------------------------------------------------------------------------
+
+// proceed serves waiting requests, asks for what is missing, and refuses those
+// that have waited long enough or for which no token can be had soon.
+func (p *Pool) proceed(now flow.Time) Effects {
+	var effects Effects
+	for len(p.waiting) > 0 {
+		token, ok := p.take(now)
+		if !ok {
+			break
+		}
+		effects.Decided = append(effects.Decided, Decided{p.waiting[0].ticket, Decision{Taken: true, Token: token}})
+		p.waiting = p.waiting[1:]
+	}
+	effects.Ask = p.plan(now)
+	for len(p.waiting) > 0 && !now.Before(p.waiting[0].deadline) {
+		effects.Decided = append(effects.Decided, Decided{p.waiting[0].ticket, p.refusal(now)})
+		p.waiting = p.waiting[1:]
+	}
+	room := min(p.room(now), len(p.waiting))
+	for _, w := range p.waiting[room:] {
+		effects.Decided = append(effects.Decided, Decided{w.ticket, p.refusal(now)})
+	}
+	p.waiting = p.waiting[:room]
+	effects.Ask = append(effects.Ask, p.report(now)...)
+	return effects
+}
+
+// take draws from the lease that ends first.
+func (p *Pool) take(now flow.Time) (Token, bool) {
+	var best *lease
+	share := 0
+	for i, s := range p.shares {
+		for _, l := range s.leases {
+			usable := l.free > 0 && now.Before(l.recall)
+			if usable && (best == nil || l.expiry < best.expiry) {
+				best, share = l, i
+			}
+		}
+	}
+	if best == nil {
+		return Token{}, false
+	}
+	best.free--
+	return Token{Share: share, Lease: best.id, NotAfter: best.expiry}, true
+}
+
+// room returns how many requests may wait: many while tokens are on the way,
+// as many as may accrue while a dry share is worth asking again soon, and none
+// otherwise.
+func (p *Pool) room(now flow.Time) int {
+	soon := now.Add(p.settings.DryWait)
+	room := 0
+	for _, s := range p.shares {
+		if s.pending() {
+			return p.settings.MaxWaiting
+		}
+		if !s.away(now) && s.dryUntil <= soon {
+			room = 1 + int(p.identity.Limit.PerSecond()*p.settings.DryWait.Seconds())
+		}
+	}
+	return min(room, p.settings.MaxWaiting)
+}
+
+// refusal says that the customer is over its rate when an owner that can be
+// reached said no lately, and that the rate is unavailable otherwise.
+func (p *Pool) refusal(now flow.Time) Decision {
+	refusal := Decision{Refuse: true, Reason: flow.ReasonRateUnavailable, RetryAfter: p.settings.AwayLimit}
+	for _, s := range p.shares {
+		if s.away(now) || now.Sub(s.saidNoAt) > p.settings.WaitLimit {
+			continue
+		}
+		refusal.Reason = flow.ReasonOverRate
+		refusal.RetryAfter = min(refusal.RetryAfter, max(s.dryUntil.Sub(now), time.Millisecond))
+	}
+	return refusal
+}
+
+func (p *Pool) recall(now flow.Time) {
+	for _, s := range p.shares {
+		s.recall(now)
+	}
+}
+
+// trim returns stock when demand has fallen.
+func (p *Pool) trim(now flow.Time) {
+	target := p.target(now)
+	excess := p.Held() - target
+	if excess <= target*(stockExcess-1) {
+		return
+	}
+	for _, s := range p.shares {
+		for _, l := range s.leases {
+			if n := l.giveUp(excess); n > 0 {
+				excess -= n
+				s.note(now)
+			}
+		}
+	}
+}
+
+// target is the stock for the demand expected within the horizon.
+func (p *Pool) target(now flow.Time) int {
+	expected := p.demand.during(now, p.settings.Horizon, p.settings.Averaging)
+	most := p.identity.Limit.PerSecond() * p.settings.Horizon.Seconds()
+	return int(min(expected, most))
+}
--- /dev/null
+++ b/internal/process/drawer/pool_test.go
@@ -0,0 +1,277 @@
+package drawer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/drawer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// bench drives one pool by hand.
+type bench struct {
+	*is.I
+	pool *drawer.Pool
+	now  flow.Time
+}
+
+func newBench(t *testing.T, shares int) *bench {
+	identity := drawer.Identity{
+		Customer: customer, Host: "a", Incarnation: 1, Shares: shares,
+		Limit: granter.Limit{MicrotokensPerSecond: 1000e6, Burst: 1000},
+	}
+	return &bench{I: is.New(t), pool: drawer.NewPool(identity, drawer.DefaultSettings(), &drawer.Counter{}), now: 1000}
+}
+
+func (b *bench) draw() drawer.Decision { return b.pool.Draw(b.now) }
+
+// ask draws once and returns the one request that this takes.
+func (b *bench) ask() granter.Request {
+	b.Helper()
+	decision := b.draw()
+	b.True(decision.Wait)
+	b.Equal(len(decision.Ask), 1)
+	return decision.Ask[0]
+}
+
+func (b *bench) answer(request granter.Request, granted int) drawer.Effects {
+	answer := granter.Answer{
+		Customer: customer, Share: request.Share, Shares: request.Shares, Sequence: request.Sequence,
+		Granted: granted, Lifetime: time.Second, Level: 1000 - granted,
+	}
+	if granted < request.Want {
+		answer.RetryAfter = 200 * time.Millisecond
+	}
+	return b.pool.Answered(b.now, answer)
+}
+
+// leased returns a token and leaves free ones in the pool.
+func (b *bench) leased(free int) drawer.Token {
+	b.Helper()
+	effects := b.answer(b.ask(), 1+free)
+	b.Equal(len(effects.Decided), 1)
+	b.True(effects.Decided[0].Decision.Taken)
+	return effects.Decided[0].Decision.Token
+}
+
+// reported sums what the pool reports from now until it has nothing to say.
+func (b *bench) reported() (used, returned int) {
+	for range 400 {
+		b.now += 5
+		for _, request := range b.pool.Tick(b.now).Ask {
+			for _, report := range request.Reports {
+				used += report.Used
+				returned += report.Returned
+			}
+			b.answer(request, 0)
+		}
+	}
+	return used, returned
+}
+
+func TestPoolUnderFaults(t *testing.T) {
+	cases := map[string]func(b *bench){
+		"lifetime counts from the sending": func(b *bench) {
+			request := b.ask()
+			b.now += 40
+			effects := b.answer(request, 1)
+			b.Equal(effects.Decided[0].Decision.Token.NotAfter, flow.Time(2000))
+		},
+		"answer after expiry gives nothing and is returned": func(b *bench) {
+			request := b.ask()
+			b.now += 1001
+			b.Equal(len(b.answer(request, 5).Decided), 1) // refused, since its wait was over
+			b.Equal(b.draw().Taken, false)
+			_, returned := b.reported()
+			b.Equal(returned, 5)
+		},
+		"answer after the next request is ignored": func(b *bench) {
+			first := b.ask()
+			b.now += 200
+			b.pool.Tick(b.now)
+			b.now += 200
+			second := b.ask()
+			b.Equal(second.Answered, uint64(0)) // the owner may take the first back
+			b.answer(first, 5)
+			b.Equal(b.pool.Held(), 0)
+			b.Equal(len(b.answer(second, 1).Decided), 1)
+		},
+		"repeated answer counts once": func(b *bench) {
+			request := b.ask()
+			b.answer(request, 5)
+			b.answer(request, 5)
+			b.Equal(b.pool.Held(), 4)
+		},
+		"ingress that wakes after expiry uses nothing": func(b *bench) {
+			b.leased(5)
+			b.now += 5000
+			b.True(!b.draw().Taken)
+		},
+		"token that was given back is drawn again": func(b *bench) {
+			token := b.leased(0)
+			b.pool.GiveBack(b.now, token)
+			again := b.draw()
+			b.True(again.Taken)
+			b.Equal(again.Token, token)
+		},
+		"token that was given back twice counts once": func(b *bench) {
+			token := b.leased(0)
+			b.pool.GiveBack(b.now, token)
+			b.pool.GiveBack(b.now, token)
+			b.Equal(b.pool.Held(), 1)
+		},
+		"token that was spent is not given back": func(b *bench) {
+			token := b.leased(0)
+			b.pool.Spent(b.now, token, 0)
+			b.pool.GiveBack(b.now, token)
+			used, returned := b.reported()
+			b.Equal(used, 1)
+			b.Equal(returned, 0)
+		},
+		"token given back after expiry is returned and not drawn": func(b *bench) {
+			token := b.leased(0)
+			b.now += 1500
+			b.pool.GiveBack(b.now, token)
+			b.Equal(b.draw().Taken, false)
+		},
+		"token of a former cut changes nothing": func(b *bench) {
+			b.pool.Spent(b.now, drawer.Token{Share: 7, Lease: 1}, 0)
+			b.pool.GiveBack(b.now, drawer.Token{Share: 7, Lease: 1})
+			b.Equal(b.pool.Held(), 0)
+		},
+		"token in flight is neither used nor returned": func(b *bench) {
+			b.leased(0)
+			used, returned := b.reported()
+			b.Equal(used+returned, 0)
+		},
+		"a report has the age of the last use": func(b *bench) {
+			first := b.leased(1)
+			second := b.draw()
+			b.True(second.Taken)
+			for _, request := range second.Ask {
+				b.answer(request, 0)
+			}
+			b.pool.Spent(b.now, first, 0)
+			b.now += 70
+			b.pool.Spent(b.now, second.Token, 10*time.Millisecond)
+			b.now += 30
+			b.Equal(b.pool.Tick(b.now).Ask[0].Reports[0].UsedAge, 40*time.Millisecond)
+		},
+		"stock is returned when demand falls": func(b *bench) {
+			b.leased(20)
+			_, returned := b.reported()
+			b.Equal(returned, 20)
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) { run(newBench(t, 1)) })
+	}
+}
+
+// A pool that is made anew must not give up leases of the former one: their
+// tokens may be on the way to a backend server.
+func TestDrawerKeepsLeasesOverACutThereAndBack(t *testing.T) {
+	is := is.New(t)
+	d := drawer.New(drawer.DefaultSettings())
+	identity := drawer.Identity{Customer: customer, Shares: 1, Limit: granter.Limit{MicrotokensPerSecond: 1e6, Burst: 10}}
+	request := d.Pool(identity).Draw(1000).Ask[0]
+	d.Pool(identity).Answered(1003, granter.Answer{Shares: 1, Sequence: request.Sequence, Granted: 1, Lifetime: time.Second})
+	identity.Shares = 2
+	d.Pool(identity)
+	identity.Shares = 1
+	again := d.Pool(identity).Draw(1010).Ask[0]
+	is.True(again.Answered >= request.Sequence)
+	is.True(again.Sequence > request.Sequence)
+}
+
+func TestPoolWaitsAndRefuses(t *testing.T) {
+	cases := map[string]struct {
+		shares int
+		run    func(b *bench)
+	}{
+		"a burst asks once for all": {1, func(b *bench) {
+			first := b.ask()
+			for range 99 {
+				decision := b.draw()
+				b.True(decision.Wait)
+				b.Equal(len(decision.Ask), 0)
+			}
+			effects := b.answer(first, first.Want)
+			b.Equal(len(effects.Decided), 1)
+			b.Equal(len(effects.Ask), 1)
+			b.Equal(effects.Ask[0].Waiting, 99)
+			b.Equal(len(b.answer(effects.Ask[0], 99).Decided), 99)
+		}},
+		"another share is asked when one is dry": {2, func(b *bench) {
+			effects := b.answer(b.ask(), 0)
+			b.Equal(len(effects.Decided), 0)
+			b.Equal(len(effects.Ask), 1)
+			b.Equal(effects.Ask[0].Share, 1)
+		}},
+		"over rate once all shares are dry, without asking again": {1, func(b *bench) {
+			effects := b.answer(b.ask(), 0)
+			b.Equal(effects.Decided[0].Decision.Reason, flow.ReasonOverRate)
+			for range 100 {
+				b.now++
+				decision := b.draw()
+				b.True(decision.Refuse)
+				b.Equal(decision.Reason, flow.ReasonOverRate)
+				b.True(decision.RetryAfter > 0)
+				b.Equal(len(decision.Ask), 0)
+			}
+			b.now += 200
+			b.ask()
+		}},
+		"rate unavailable when no owner can be reached": {1, func(b *bench) {
+			request := b.ask()
+			effects := b.pool.Failed(b.now, request.Share, request.Sequence)
+			b.Equal(effects.Decided[0].Decision.Reason, flow.ReasonRateUnavailable)
+			b.Equal(b.draw().Reason, flow.ReasonRateUnavailable)
+		}},
+		"a silent owner is not waited for": {2, func(b *bench) {
+			b.ask()
+			b.now += 10
+			effects := b.pool.Tick(b.now)
+			b.Equal(len(effects.Ask), 1)
+			b.Equal(len(b.answer(effects.Ask[0], 1).Decided), 1)
+		}},
+		"waiting ends": {1, func(b *bench) {
+			b.ask()
+			b.now = b.pool.Due(b.now)
+			for b.now < 1050 {
+				b.Equal(len(b.pool.Tick(b.now).Decided), 0)
+				b.now = b.pool.Due(b.now)
+			}
+			b.Equal(b.now, flow.Time(1050))
+			b.True(b.pool.Tick(b.now).Decided[0].Decision.Refuse)
+		}},
+		"a pool is kept while a token may run": {1, func(b *bench) {
+			b.leased(0)
+			b.now += 900
+			b.pool.Tick(b.now)
+			b.True(!b.pool.Idle(b.now))
+			b.now += 2000
+			b.pool.Tick(b.now)
+			b.True(b.pool.Idle(b.now))
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { tc.run(newBench(t, tc.shares)) })
+	}
+}
+
+func BenchmarkDraw(b *testing.B) {
+	settings := drawer.DefaultSettings()
+	identity := drawer.Identity{Customer: customer, Shares: 8, Limit: granter.Limit{MicrotokensPerSecond: 1e12, Burst: 1e6}}
+	pool := drawer.NewPool(identity, settings, &drawer.Counter{})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := flow.Time(1000 + i/100)
+		for _, request := range pool.Draw(now).Ask {
+			pool.Answered(now, granter.Answer{Share: request.Share, Shares: 8, Sequence: request.Sequence, Granted: request.Want, Lifetime: time.Second})
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/ejector/robust_test.go
@@ -0,0 +1,267 @@
+package ejector_test
+
+import (
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/ejector"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+func newRobust(since flow.Time, servers int, floor float64) ejector.Ejector {
+	return newRobustFor(since, servers, floor, 0)
+}
+
+func newRobustFor(since flow.Time, servers int, floor float64, lifetime time.Duration) ejector.Ejector {
+	e, err := ejector.New(ejector.NameRobust, ejector.Options{Since: since, Lifetime: lifetime})
+	if err != nil {
+		panic(err)
+	}
+	e.SetServers(since, names(servers), floor)
+	return e
+}
+
+func names(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, strconv.Itoa(i))
+	}
+	return list
+}
+
+// work is a window of a server: w for well, s for slow, f for failing, d for
+// dead, i for idle, - for no report.
+func work(server int, kind byte) flow.ServerReport {
+	r := flow.ServerReport{Server: strconv.Itoa(server), Count: 12, Median: 20 * time.Millisecond, Slow: 45 * time.Millisecond}
+	switch kind {
+	case 's':
+		r.Median *= 5
+		r.Slow *= 5
+	case 'f':
+		r.Failures = 5
+	case 'd':
+		r.Failures, r.Median, r.Slow = 12, 0, 0
+	case 'i':
+		r.Count, r.Median, r.Slow = 0, 0, 0
+	}
+	return r
+}
+
+// phase is what each server does for a time.
+type phase struct {
+	kinds string
+	lasts flow.Time
+}
+
+// play reports the phases every half second and returns which servers were
+// granted an ejection in the last second, in their order, and the time at which
+// each was first granted one.
+func play(e ejector.Ejector, from flow.Time, phases []phase) (string, map[string]flow.Time) {
+	first := map[string]flow.Time{}
+	last := map[string]flow.Time{}
+	now := from
+	servers := 0
+	for _, p := range phases {
+		servers = len(p.kinds)
+		for end := now + p.lasts; now < end; now += 500 {
+			for i := range servers {
+				if p.kinds[i] == '-' {
+					continue
+				}
+				for _, granted := range e.Report(now, "host", []flow.ServerReport{work(i, p.kinds[i])}) {
+					if _, ok := first[granted.Server]; !ok {
+						first[granted.Server] = now
+					}
+					last[granted.Server] = now
+				}
+			}
+		}
+	}
+	held := ""
+	for _, name := range names(servers) {
+		if at, ok := last[name]; ok && now-at <= 1000 {
+			held += name
+		}
+	}
+	return held, first
+}
+
+func TestRobustEjects(t *testing.T) {
+	well := phase{"wwwwwwww", 6000}
+	cases := map[string]struct {
+		floor  float64
+		phases []phase
+		want   string
+	}{
+		"nobody of a good service":                        {phases: []phase{well}},
+		"a slow one":                                      {phases: []phase{well, {"wswwwwww", 5000}}, want: "1"},
+		"a failing one":                                   {phases: []phase{well, {"wwfwwwww", 4000}}, want: "2"},
+		"a dead one":                                      {phases: []phase{well, {"wwwdwwww", 4000}}, want: "3"},
+		"nobody when all slow at once":                    {phases: []phase{well, {"ssssssss", 10_000}}},
+		"nobody when all fail at once":                    {phases: []phase{well, {"ffffffff", 10_000}}},
+		"nobody for one slow second":                      {phases: []phase{well, {"wswwwwww", 1000}, {"wwwwwwww", 5000}}},
+		"nobody for being idle":                           {phases: []phase{well, {"wiwwwwww", 10_000}}},
+		"as many as floor and reserve let go":             {floor: 0.5, phases: []phase{well, {"dddwwwww", 5000}}, want: "012"},
+		"not more":                                        {floor: 0.625, phases: []phase{well, {"ddwwwwws", 6000}}, want: "01"},
+		"the worst first":                                 {floor: 0.75, phases: []phase{well, {"swwwwwwd", 8000}}, want: "7"},
+		"one when the floor lets one go":                  {floor: 0.875, phases: []phase{well, {"wwwwwwwd", 5000}}, want: "7"},
+		"nobody at a floor of one":                        {floor: 1, phases: []phase{well, {"wwwwwwwd", 5000}}},
+		"nobody when silent servers leave just the floor": {floor: 0.5, phases: []phase{well, {"swww----", 10_000}}},
+		"no more when others fall silent":                 {floor: 0.5, phases: []phase{well, {"sswwwwww", 6000}, {"sswww---", 8000}}},
+		"not for ever when trials go well":                {phases: []phase{well, {"wswwwwww", 5000}, {"wwwwwwww", 5000}}},
+		"not without trial results":                       {phases: []phase{well, {"wfwwwwww", 5000}, {"wiwwwwww", 8000}}},
+		"as long as trials go badly":                      {phases: []phase{well, {"wfwwwwww", 60_000}}, want: "1"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			held, _ := play(newRobust(0, 8, tc.floor), 0, tc.phases)
+			is.New(t).Equal(held, tc.want)
+		})
+	}
+}
+
+func TestNewOwnerWaits(t *testing.T) {
+	cases := map[string]struct {
+		lifetime time.Duration
+		phases   []phase
+		atLeast  flow.Time // earliest grant
+		atMost   flow.Time // latest first grant
+	}{
+		"for the leases of the owner before":     {6 * time.Second, []phase{{"dwwwwwww", 10_000}}, 6000, 7000},
+		"for windows of most servers":            {time.Second, []phase{{"dwwww---", 8000}, {"dwwwwwww", 10_000}}, 9000, 10_000},
+		"for windows of most servers that exist": {time.Second, []phase{{"dww", 8000}}, 1000, 4000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			since := flow.Time(50_000)
+			_, first := play(newRobustFor(since, len(tc.phases[0].kinds), 0.5, tc.lifetime), since, tc.phases)
+			at, ok := first["0"]
+			is.True(ok)
+			is.True(at-since >= tc.atLeast)
+			is.True(at-since <= tc.atMost)
+		})
+	}
+}
+
+func TestFlappingLengthensEjections(t *testing.T) {
+	is := is.New(t)
+	e := newRobust(0, 8, 0.5)
+	play(e, 0, []phase{{"wwwwwwww", 6000}})
+	now := flow.Time(6000)
+	var lengths []flow.Time
+	for range 7 {
+		var began flow.Time
+		for ; began == 0; now += 500 {
+			if held, _ := play(e, now, []phase{{"dwwwwwww", 500}}); held != "" {
+				began = now
+			}
+		}
+		ended := flow.Time(0)
+		for ; ended == 0; now += 500 {
+			if held, _ := play(e, now, []phase{{"wwwwwwww", 500}}); held == "" {
+				ended = now
+			}
+		}
+		lengths = append(lengths, ended-began)
+	}
+	for i := 1; i < len(lengths); i++ {
+		is.True(lengths[i] >= lengths[i-1])
+	}
+	is.True(lengths[4] >= 4*lengths[0]) // it grows
+	is.True(lengths[6] <= 40_000)       // and is bounded
+}
+
+// -----------------------------------------------------------------------------
+
+// TestFloorHoldsAtEveryInstant reports at random from servers that work well,
+// badly or are lost, through changes of owner and of the servers in service. No
+// more servers than the reserve are lost within the time that the package
+// states, and daemons drop their leases when the service shrinks.
+func TestFloorHoldsAtEveryInstant(t *testing.T) {
+	const step = flow.Time(100)
+	rapid.Check(t, func(rt *rapid.T) {
+		lifetime := time.Duration(rapid.SampledFrom([]int{1, 2, 6}).Draw(rt, "lifetime")) * time.Second
+		exposure := 2600 + flow.Time(lifetime.Milliseconds()*102/100) // silentAfter and one lifetime with its margin
+		count := rapid.IntRange(3, 12).Draw(rt, "servers")
+		floor := float64(rapid.IntRange(0, 10).Draw(rt, "floor")) / 10
+		keep := max(1, int(math.Ceil(floor*float64(count)-1e-9)))
+		reserve := min(1, max(0, count-keep-1))
+		e := newRobustFor(0, count, floor, lifetime)
+		kinds := make([]byte, count)
+		held := make([]flow.Time, count)
+		for i := range kinds {
+			kinds[i] = 'w'
+		}
+		lastLoss := flow.Never
+		for now := flow.Time(0); now < 60_000; now += step {
+			switch rapid.IntRange(0, 60).Draw(rt, "event") {
+			case 0, 1, 2: // a server changes how it works
+				i := rapid.IntRange(0, count-1).Draw(rt, "server")
+				if kinds[i] != '-' {
+					kinds[i] = rapid.SampledFrom([]byte("wsfdi")).Draw(rt, "kind")
+				}
+			case 3: // a server is lost, or comes back
+				i := rapid.IntRange(0, count-1).Draw(rt, "server")
+				switch {
+				case kinds[i] == '-':
+					kinds[i] = 'w'
+				case reserve > 0 && now-lastLoss > exposure:
+					kinds[i] = '-'
+					lastLoss = now
+				}
+			case 4: // another owner
+				if rapid.IntRange(0, 4).Draw(rt, "owner") == 0 {
+					e = newRobustFor(now, count, floor, lifetime)
+				}
+			case 5: // operators take the last server out
+				if count > 3 && rapid.IntRange(0, 4).Draw(rt, "shrink") == 0 {
+					count--
+					kinds, held = kinds[:count], make([]flow.Time, count)
+					keep = max(1, int(math.Ceil(floor*float64(count)-1e-9)))
+					reserve = min(1, max(0, count-keep-1))
+					e.SetServers(now, names(count), floor)
+				}
+			}
+			for i := range count {
+				if kinds[i] == '-' || (now/step+flow.Time(i))%5 != 0 {
+					continue
+				}
+				lost := rapid.IntRange(0, 19).Draw(rt, "lost")
+				if lost == 0 {
+					continue
+				}
+				answer := e.Report(now, "host", []flow.ServerReport{work(i, kinds[i])})
+				if lost == 1 {
+					continue
+				}
+				held[i] = 0
+				if len(answer) > 0 {
+					held[i] = now.Add(lifetime)
+				}
+			}
+			free, ejected := 0, 0
+			for i := range count {
+				if kinds[i] == '-' {
+					continue
+				}
+				if now < held[i] {
+					ejected++
+				} else {
+					free++
+				}
+			}
+			if now-lastLoss <= exposure && reserve == 0 {
+				continue // a loss before the service shrank, to a size that lets no reserve be kept
+			}
+			if ejected > 0 && free < keep {
+				rt.Fatalf("at %d: %d of %d left of a floor of %d, %d ejected: %s", now, free, count, keep, ejected, kinds)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/granter/limit.go
@@ -0,0 +1,106 @@
+// Limits are rates cut to a region and to a share. All daemons on one revision
+// of the configuration must cut alike, so the cuts are integers and depend on
+// nothing but their arguments.
+
+package granter
+
+import (
+	"math"
+	"slices"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	microtokens       = 1_000_000 // microtokens in a token
+	minimumShareBurst = 8         // tokens; a burst is not cut into smaller shares
+	hostsPerShare     = 3         // hosts in the region for each share
+)
+
+// Limit is a token bucket's rate and size.
+type Limit struct {
+	MicrotokensPerSecond int64 `msgpack:"r"`
+	Burst                int   `msgpack:"b"` // tokens
+}
+
+// PerSecond returns the rate in tokens a second.
+func (l Limit) PerSecond() float64 {
+	return float64(l.MicrotokensPerSecond) / microtokens
+}
+
+// RegionRate returns the part of a customer's rate that region may use. Without
+// region shares the rate is split evenly over regions, and tokens of the burst
+// that are left over go to the first regions by name. A region without a share
+// gets nothing. Shares that sum to more than one are scaled down.
+func RegionRate(rate *flow.Rate, region string, regions []string) Limit {
+	if len(rate.RegionShares) > 0 {
+		return regionShare(rate, region)
+	}
+	sorted := slices.Clone(regions)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	index := slices.Index(sorted, region)
+	if index < 0 {
+		return Limit{}
+	}
+	whole := Limit{MicrotokensPerSecond: toMicrotokens(rate.PerSecond), Burst: max(rate.Burst, 0)}
+	return ShareLimit(whole, index, len(sorted))
+}
+
+func regionShare(rate *flow.Rate, region string) Limit {
+	names := make([]string, 0, len(rate.RegionShares))
+	for name := range rate.RegionShares {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	sum := 0.0
+	for _, name := range names {
+		sum += max(rate.RegionShares[name], 0)
+	}
+	share := max(rate.RegionShares[region], 0) / max(sum, 1)
+	if math.IsNaN(share) {
+		return Limit{}
+	}
+	return Limit{
+		MicrotokensPerSecond: toMicrotokens(rate.PerSecond * share),
+		Burst:                int(float64(max(rate.Burst, 0)) * share),
+	}
+}
+
+func toMicrotokens(perSecond float64) int64 {
+	if !(perSecond > 0) || math.IsInf(perSecond, 0) {
+		return 0
+	}
+	return int64(perSecond * microtokens)
+}
+
+// -----------------------------------------------------------------------------
+
+// ShareCount returns into how many shares a limit is cut in a region of the
+// given number of hosts: a power of two, at most maxShares, one for small
+// bursts and small regions. Changing the count moves every share of the
+// customer, so it follows the number of hosts in coarse steps only.
+func ShareCount(limit Limit, hosts, maxShares int) int {
+	bound := min(maxShares, hosts/hostsPerShare, limit.Burst/minimumShareBurst)
+	count := 1
+	for count*2 <= bound {
+		count *= 2
+	}
+	return count
+}
+
+// ShareLimit returns the limit of one of several shares. The shares' limits
+// never sum to more than the whole.
+func ShareLimit(whole Limit, share, shares int) Limit {
+	if shares <= 1 {
+		return whole
+	}
+	cut := Limit{
+		MicrotokensPerSecond: whole.MicrotokensPerSecond / int64(shares),
+		Burst:                whole.Burst / shares,
+	}
+	if share < whole.Burst%shares {
+		cut.Burst++
+	}
+	return cut
+}
--- /dev/null
+++ b/internal/process/limiter/fixed.go
@@ -0,0 +1,19 @@
+// The fixed limiter: the baseline that learns nothing.
+
+package limiter
+
+import (
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+type fixed struct {
+	slots int
+}
+
+// Limit returns the slots.
+func (f fixed) Limit(flow.Time) int { return f.slots }
+
+// Observe does nothing.
+func (f fixed) Observe(flow.Time, flow.Time, time.Duration, int, flow.Verdict) {}
--- /dev/null
+++ b/internal/process/reader/client.go
@@ -0,0 +1,123 @@
+// The client of the platform's read-and-watch service.
+
+package reader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	// WatchTimeout is how long the platform holds a watch that has no news.
+	WatchTimeout = 30 * time.Second
+	// readTimeout bounds a read, and what a watch may take beyond WatchTimeout.
+	readTimeout = 5 * time.Second
+	// pageLimit is the size of a page that is asked for, in bytes.
+	pageLimit = 1 << 20
+	// bodyLimit bounds the body of an answer, in bytes.
+	bodyLimit = 8 << 20
+)
+
+// Error is the class of errors of the platform's service.
+var Error = errs.Class("platform")
+
+// Page is one answer of the platform: records changed after a revision, in the
+// order of their revisions.
+type Page struct {
+	Revision flow.Revision    `json:"revision"` // up to which the page is complete, unless More
+	Records  []flow.RawRecord `json:"records"`
+	More     bool             `json:"more"` // whether further pages follow
+}
+
+// Last returns the revision after which the next page begins.
+func (p Page) Last() flow.Revision {
+	if !p.More || len(p.Records) == 0 {
+		return p.Revision
+	}
+	return p.Records[len(p.Records)-1].Revision
+}
+
+// Client calls the platform's service at the first of several addresses that
+// answers.
+type Client struct {
+	URLs []string
+	HTTP *http.Client
+}
+
+// NewClient returns a Client for the given base URLs.
+func NewClient(urls []string) *Client {
+	return &Client{
+		URLs: urls,
+		HTTP: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 2,
+				IdleConnTimeout:     time.Minute,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Read returns the records changed after a revision.
+func (c *Client) Read(ctx context.Context, after flow.Revision) (Page, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(uint64(after), 10))
+	query.Set("limit-bytes", strconv.Itoa(pageLimit))
+	return c.get(ctx, "read-records", "/v1/records?"+query.Encode(), readTimeout)
+}
+
+// Watch waits for records changed after a revision and returns them; after
+// WatchTimeout it returns a page without records.
+func (c *Client) Watch(ctx context.Context, after flow.Revision) (Page, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(uint64(after), 10))
+	query.Set("timeout", WatchTimeout.String())
+	return c.get(ctx, "watch-records", "/v1/watch?"+query.Encode(), WatchTimeout+readTimeout)
+}
+
+// get asks each address in turn.
+func (c *Client) get(ctx context.Context, step flow.Step, path string, timeout time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := error(Error.New("no address is set"))
+	for _, base := range c.URLs {
+		var page Page
+		page, err = c.getOne(ctx, strings.TrimSuffix(base, "/")+path)
+		if err == nil {
+			return page, nil
+		}
+		err = flow.Wrap(step, base, Error.Wrap(err))
+	}
+	return Page{}, err
+}
+
+func (c *Client) getOne(ctx context.Context, target string) (Page, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Page{}, err
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Page{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Page{}, fmt.Errorf("status %d", response.StatusCode)
+	}
+	var page Page
+	if err := json.NewDecoder(io.LimitReader(response.Body, bodyLimit)).Decode(&page); err != nil {
+		return Page{}, fmt.Errorf("malformed page: %w", err)
+	}
+	return page, nil
+}
--- /dev/null
+++ b/internal/process/reader/duty.go
@@ -0,0 +1,109 @@
+// Duty decides which daemons hold a watch at the platform.
+
+package reader
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/placer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/prover"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	// fleetUnknown is the number of daemons that a daemon reckons with while it
+	// knows no list of hosts.
+	fleetUnknown = 2700
+	// startBurst is how many times its budget of calls the fleet may use for a
+	// moment when nobody knows any list of hosts.
+	startBurst = 10
+	// patience is how long a daemon without a lease waits for its peers before
+	// it reads from the platform itself.
+	patience = 5 * time.Second
+)
+
+// View is what a daemon knows when it decides whether to read.
+type View struct {
+	Self      string
+	Zone      string
+	Hosts     []string               // live hosts of the own availability zone
+	Reachable func(host string) bool // whether a host was proved alive of late
+	Applied   flow.Revision
+	Acting    bool // whether the daemon holds its lease
+}
+
+// Duty is the reading duty of one daemon. The caller must lock it.
+type Duty struct {
+	readers        int
+	callsPerSecond int
+	random         *rand.Rand
+	lonelyAt       flow.Time // when to read without being on duty; flow.Never when not planned
+}
+
+// NewDuty returns the duty of a daemon in a fleet with a number of readers in
+// each availability zone, in which daemons that are not on duty together make
+// at most callsPerSecond calls.
+func NewDuty(readersPerZone, callsPerSecond int, random *rand.Rand) *Duty {
+	return &Duty{
+		readers:        readersPerZone,
+		callsPerSecond: callsPerSecond,
+		random:         random,
+		lonelyAt:       flow.Never,
+	}
+}
+
+// Watches reports whether the daemon is one of the readers of its zone.
+func (d *Duty) Watches(view View) bool {
+	thing := "reader/" + view.Zone
+	var reachable []string
+	for _, host := range view.Hosts {
+		if host == view.Self || view.Reachable(host) {
+			reachable = append(reachable, host)
+		}
+	}
+	for _, host := range placer.Ranked(prover.NewMemberList(0, reachable), thing, d.readers) {
+		if host == view.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadsAlone reports whether a daemon that is not on duty should read now,
+// because it hears of no configuration from its peers. The fleet is the number
+// of hosts that it knows. It reports true once for each read that is due.
+func (d *Duty) ReadsAlone(now flow.Time, view View, fleet int) bool {
+	if view.Acting {
+		d.lonelyAt = flow.Never
+		return false
+	}
+	if d.lonelyAt == flow.Never {
+		d.lonelyAt = now.Add(d.delay(fleet))
+		return false
+	}
+	if now.Before(d.lonelyAt) {
+		return false
+	}
+	d.lonelyAt = now.Add(d.startWindow() + d.delay(fleet))
+	return true
+}
+
+// delay is the wait before a read that nobody else seems to make. Random parts
+// keep a fleet of daemons, all reading alone, below the budget of calls.
+func (d *Duty) delay(fleet int) time.Duration {
+	if fleet == 0 {
+		return d.upTo(d.startWindow())
+	}
+	window := time.Duration(fleet) * time.Second / time.Duration(d.callsPerSecond)
+	return patience + d.upTo(max(window, time.Second))
+}
+
+// startWindow is the time over which daemons that know no hosts spread a read.
+func (d *Duty) startWindow() time.Duration {
+	return fleetUnknown * time.Second / time.Duration(startBurst*d.callsPerSecond)
+}
+
+func (d *Duty) upTo(most time.Duration) time.Duration {
+	return time.Duration(d.random.Int64N(int64(most)))
+}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -18,6 +18,8 @@
 
 // The states.
 const (
+	// StateNew is an attempt that was not seen before.
+	StateNew State = "new"
 	// StateBarred is certain: the attempt did not run and never will.
 	StateBarred State = "barred"
 	// StateRunning means that the attempt was started and has not ended.
@@ -71,15 +73,15 @@
 	return &Registrar{incarnation: incarnation, entries: map[string]*entry{}}
 }
 
-// Arrive records that an attempt arrived. It reports false, and the attempt
-// must not be run, when the attempt was barred or arrived before.
-func (r *Registrar) Arrive(now flow.Time, attempt string) bool {
+// Arrive records that an attempt arrived, and returns its state before that.
+// Only an attempt that is StateNew may be run.
+func (r *Registrar) Arrive(now flow.Time, attempt string) State {
 	r.sweep(now)
-	if _, ok := r.entries[attempt]; ok {
-		return false
+	if e, ok := r.entries[attempt]; ok {
+		return e.state
 	}
 	r.entries[attempt] = &entry{state: StateRunning, dropAt: flow.Never}
-	return true
+	return StateNew
 }
 
 // End records that an attempt that arrived has ended: refused without being
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -81,7 +81,8 @@
 			r := registrar.New(incarnation)
 			tc.events(r)
 			is.Equal(r.Resolve(tc.now, tc.request).State, tc.want)
-			is.Equal(r.Arrive(max(tc.now, tc.arrivesNow), "a/1"), tc.mayArrive)
+			mayArrive := r.Arrive(max(tc.now, tc.arrivesNow), "a/1") == registrar.StateNew
+			is.Equal(mayArrive, tc.mayArrive)
 		})
 	}
 }
--- /dev/null
+++ b/internal/process/sender/transport.go
@@ -0,0 +1,92 @@
+// The transport to the backend server.
+
+package sender
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to the server.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 10 * time.Second
+	// headerLimit bounds the headers of an answer in bytes.
+	headerLimit = 64 << 10
+	// openingPoll is the least wait before asking again to open a connection.
+	openingPoll = time.Millisecond
+)
+
+func newTransport(s *Sender, slots int) *http.Transport {
+	return &http.Transport{
+		DialContext:            s.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    slots,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerLimit,
+	}
+}
+
+// Send sends an admitted request and returns the answer's head. When there is
+// an error, sent reports whether any byte of the request went out; if none
+// did, the request certainly did not run.
+func (t *Ticket) Send(request *http.Request) (response *http.Response, sent bool, err error) {
+	attempt := &sealer.Attempt{}
+	request = request.WithContext(attempt.Trace(request.Context()))
+	response, err = t.sender.transport.RoundTrip(request)
+	if err != nil {
+		unsent := attempt.Seal()
+		return nil, !unsent, flow.Wrap("send", t.sender.name, err)
+	}
+	return response, true, nil
+}
+
+// dial opens a connection when the gate allows it.
+func (s *Sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := s.awaitOpening(ctx); err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		s.closed()
+		return nil, err
+	}
+	return sealer.NewConn(conn, s.closed), nil
+}
+
+func (s *Sender) awaitOpening(ctx context.Context) error {
+	for {
+		wait, ok := s.mayOpen()
+		if ok {
+			return nil
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (s *Sender) mayOpen() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.gate.MayOpen(now) {
+		return 0, true
+	}
+	return max(s.gate.NextOpening(now).Sub(now), openingPoll), false
+}
+
+func (s *Sender) closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Closed(s.clock.Now())
+}
--- /dev/null
+++ b/internal/request/acceptor/sending.go
@@ -0,0 +1,171 @@
+// Sending to the backend server, and passing on its answer.
+
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/process/sender"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/answerer"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// The headers that backend servers get with a request.
+const (
+	// HeaderCustomer names the customer whose key came with the request.
+	HeaderCustomer = "Coltsfootflow-Customer"
+	// HeaderDeadline is the time left for the answer, like "250ms".
+	HeaderDeadline = "X-Deadline"
+)
+
+// send runs an admitted request on its backend server. The ticket is finished
+// when there is a refusal.
+func (a *Acceptor) send(ctx context.Context, in *arrival, ticket *sender.Ticket) (*answerer.Answer, *flow.Refusal) {
+	request, err := a.outgoing(ctx, in)
+	if err != nil {
+		ticket.Finish(flow.VerdictCancelled, 0)
+		return nil, a.refusal(flow.ReasonRequestMalformed, stepSend, err.Error())
+	}
+	began := a.Clock.Now()
+	response, sent, err := ticket.Send(request)
+	if err != nil {
+		verdict, reason := a.failure(ctx, sent, err)
+		ticket.Finish(verdict, a.Clock.Now().Sub(began))
+		return nil, a.refusal(reason, stepSend, err.Error())
+	}
+	if refusal := a.checkAnswer(in, response); refusal != nil {
+		_ = response.Body.Close()
+		verdict := flow.VerdictFailed
+		if refusal.Reason == flow.ReasonServerShed {
+			verdict = flow.VerdictShed
+		}
+		ticket.Finish(verdict, a.Clock.Now().Sub(began))
+		return nil, refusal
+	}
+	answer, err := answerer.Collect(response, a.AnswerBuffer)
+	if err != nil {
+		verdict, reason := flow.VerdictFailed, flow.ReasonAnswerShort
+		if ctx.Err() != nil {
+			verdict, reason = a.ended(ctx)
+		}
+		ticket.Finish(verdict, a.Clock.Now().Sub(began))
+		return nil, a.refusal(reason, stepAnswer, err.Error())
+	}
+	in.started = began
+	return answer, nil
+}
+
+// outgoing makes the request for the backend server. Its body can't be read
+// twice, so that the transport never sends the request again by itself.
+func (a *Acceptor) outgoing(ctx context.Context, in *arrival) (*http.Request, error) {
+	target := "http://" + in.sender.Server().Address + in.request.URL.RequestURI()
+	request, err := http.NewRequestWithContext(ctx, in.request.Method, target, onceReader{bytes.NewReader(in.body)})
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(in.body))
+	request.Host = in.request.Host
+	request.Header = in.request.Header.Clone()
+	answerer.StripHop(request.Header)
+	answerer.StripOwn(request.Header)
+	id, _, _ := strings.Cut(in.permit.Attempt, "/")
+	request.Header.Set(flow.HeaderRequestID, id)
+	request.Header.Set(HeaderDeadline, max(in.deadline.Sub(a.Clock.Now()), 0).String())
+	if in.permit.Customer != "" {
+		request.Header.Set(HeaderCustomer, in.permit.Customer)
+	}
+	return request, nil
+}
+
+// onceReader hides every method of a reader but Read.
+type onceReader struct{ io.Reader }
+
+// failure classifies a request that got no answer.
+func (a *Acceptor) failure(ctx context.Context, sent bool, err error) (flow.Verdict, flow.Reason) {
+	var opError *net.OpError
+	dialFailed := errors.As(err, &opError) && opError.Op == "dial"
+	switch {
+	case !sent && dialFailed:
+		return flow.VerdictRefused, flow.ReasonUnreachable
+	case !sent:
+		return flow.VerdictCancelled, flow.ReasonCancelled
+	case ctx.Err() != nil:
+		return a.ended(ctx)
+	}
+	return flow.VerdictFailed, flow.ReasonServerFailed
+}
+
+// ended classifies a request that was sent and whose context ended.
+func (a *Acceptor) ended(ctx context.Context) (flow.Verdict, flow.Reason) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return flow.VerdictTimeout, flow.ReasonTimeout
+	}
+	return flow.VerdictCancelled, flow.ReasonServerFailed
+}
+
+// checkAnswer refuses an answer by which the backend server turned the request
+// away, and one that belongs to another request.
+func (a *Acceptor) checkAnswer(in *arrival, response *http.Response) *flow.Refusal {
+	service, ok := a.Holder.Load().Index.Service(in.sender.Server().Service)
+	if !ok {
+		return nil
+	}
+	if service.ShedStatus == response.StatusCode && (service.ShedHeader == "" || response.Header.Get(service.ShedHeader) != "") {
+		return a.refusal(flow.ReasonServerShed, stepSend, "the backend server turned the request away")
+	}
+	if service.RequestIDHeader == "" {
+		return nil
+	}
+	id, _, _ := strings.Cut(in.permit.Attempt, "/")
+	if echoed := response.Header.Get(service.RequestIDHeader); echoed != id {
+		return a.refusal(flow.ReasonAnswerForeign, stepAnswer, "the answer echoes request "+strconv.Quote(echoed))
+	}
+	return nil
+}
+
+// pass writes the answer, and finishes the ticket with what it said of the
+// backend server.
+func (a *Acceptor) pass(w http.ResponseWriter, in *arrival, ticket *sender.Ticket, answer *answerer.Answer) {
+	headed := a.Clock.Now()
+	answerer.StripHop(answer.Header)
+	answerer.StripOwn(answer.Header)
+	if answer.Rest == nil {
+		a.finish(in, ticket, verdictOf(answer.Status), headed)
+	}
+	a.vouch(w, in, "")
+	answer.Write(w, func(cut error) {
+		if answer.Rest == nil {
+			return
+		}
+		verdict := verdictOf(answer.Status)
+		if cut != nil {
+			verdict = flow.VerdictFailed
+		}
+		a.finish(in, ticket, verdict, headed)
+	})
+}
+
+// finish ends a request that was run.
+func (a *Acceptor) finish(in *arrival, ticket *sender.Ticket, verdict flow.Verdict, at flow.Time) {
+	took := at.Sub(in.started)
+	ticket.Finish(verdict, took)
+	a.end(in, false)
+	a.Observer.Admitted(in.permit.Server, "", took)
+}
+
+// verdictOf says what a whole answer's status tells of the backend server.
+func verdictOf(status int) flow.Verdict {
+	if status >= http.StatusInternalServerError {
+		return flow.VerdictFailed
+	}
+	return flow.VerdictGood
+}
+
+var _ http.Handler = (*Acceptor)(nil)
--- /dev/null
+++ b/internal/request/answerer/header.go
@@ -0,0 +1,48 @@
+// Headers that belong to one connection, to coltsfootflow or to the caller's
+// key are taken out on the way.
+
+package answerer
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopHeaders belong to one connection (RFC 9110, sections 7.6.1 and 10.1.1).
+var hopHeaders = []string{
+	"Connection",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// ownPrefix begins the names of coltsfootflow's own headers.
+const ownPrefix = "Coltsfootflow-"
+
+// StripHop removes the headers that belong to one connection.
+func StripHop(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// StripOwn removes coltsfootflow's own headers, which nobody else may set.
+func StripOwn(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(header, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/indexer/fuzz_test.go
@@ -0,0 +1,42 @@
+package indexer_test
+
+import (
+	"net/url"
+	"path"
+	"testing"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/version/indexer"
+	"github.com/coltsfootflow/coltsfootflow/internal/version/merger"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// FuzzRoute proves that a path which is not refused takes the same route after
+// a backend server has decoded it, decoded it again, and cleaned it.
+func FuzzRoute(f *testing.F) {
+	var changes []merger.Change
+	for _, prefix := range []string{"/", "/a", "/a/b", "/admin"} {
+		changes = append(changes, put(1, nil, &flow.Route{Name: "r" + prefix, PathPrefix: prefix}))
+	}
+	index := indexer.Empty().Apply(changes, 1)
+	for _, seed := range []string{"/a/b/c", "/%61/b", "/a/../admin", "/a%2fb", "/%2561", "/a//b", "/a/b/", "/a/..;/admin", "/%c0%ae", "/%E1%83%90"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		match := index.Route("GET", raw)
+		if match.Route == nil {
+			return
+		}
+		understood := raw
+		for range 2 {
+			decoded, err := url.PathUnescape(understood)
+			if err != nil {
+				t.Fatalf("%q is not a path: %v", raw, err)
+			}
+			understood = path.Clean(decoded)
+		}
+		again := index.Route("GET", (&url.URL{Path: understood}).EscapedPath())
+		if again.Route != match.Route {
+			t.Fatalf("%q takes %s, and as %q %v", raw, match.Route.Name, understood, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/version/merger/merger_test.go
@@ -0,0 +1,276 @@
+package merger_test
+
+import (
+	"cmp"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/version/merger"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const wholeDelta = 1 << 20 // bytes
+
+// good, bad and gone are versions of the customer name.
+func good(name string, revision flow.Revision) flow.RawRecord {
+	body := fmt.Sprintf(`{"kind":"customer","name":"%s","schema":1,"description":"%d"}`, name, revision)
+	return flow.RawRecord{Kind: flow.KindCustomer, Name: name, Revision: revision, Body: []byte(body)}
+}
+
+func bad(name string, revision flow.Revision) flow.RawRecord {
+	raw := good(name, revision)
+	raw.Body = []byte("{\t\"schema\": 99")
+	return raw
+}
+
+func gone(name string, revision flow.Revision) flow.RawRecord {
+	return flow.RawRecord{Kind: flow.KindCustomer, Name: name, Revision: revision, Deleted: true}
+}
+
+// view folds changes into what is in force: the descriptions by name, which
+// good makes equal to the revisions.
+type view map[string]string
+
+func (v view) apply(changes []merger.Change) error {
+	for _, change := range changes {
+		if got, want := v[change.ID.Name], description(change.Old); got != want {
+			return fmt.Errorf("%s: old is %q, in force was %q", change.ID.Name, want, got)
+		}
+		if change.New == nil {
+			delete(v, change.ID.Name)
+		} else {
+			v[change.ID.Name] = description(change.New)
+		}
+	}
+	return nil
+}
+
+func description(record flow.Record) string {
+	if customer, ok := record.(*flow.Customer); ok {
+		return customer.Description
+	}
+	return ""
+}
+
+func watch(from, to flow.Revision, records ...flow.RawRecord) merger.Delta {
+	return merger.WatchDelta(from, to, records)
+}
+
+// part is a delta that is not the last of its sequence.
+func part(from, cursor, to flow.Revision, records ...flow.RawRecord) merger.Delta {
+	delta := merger.WatchDelta(from, to, records)
+	delta.Last = false
+	delta.Cursor = cursor
+	return delta
+}
+
+func TestMergeInAnyOrder(t *testing.T) {
+	cases := map[string]struct {
+		deltas     []merger.Delta
+		tombstones int // limit
+		applied    flow.Revision
+		faults     int
+		want       view
+	}{
+		"in order": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(1, 2, good("b", 2)), watch(2, 3, good("a", 3))},
+			applied: 3, want: view{"a": "3", "b": "2"},
+		},
+		"stale platform after a newer one": {
+			deltas:  []merger.Delta{watch(0, 3, good("b", 2), good("a", 3)), watch(0, 1, good("a", 1)), merger.FullDelta(1, []flow.RawRecord{good("a", 1)})},
+			applied: 3, want: view{"a": "3", "b": "2"},
+		},
+		"reordered": {
+			deltas:  []merger.Delta{watch(2, 3, good("a", 3)), watch(1, 2, good("b", 2)), watch(0, 1, good("a", 1))},
+			applied: 1, want: view{"a": "3", "b": "2"},
+		},
+		"reordered and then whole": {
+			deltas:  []merger.Delta{watch(1, 3, good("a", 3)), watch(0, 1, good("a", 1)), watch(0, 3, good("b", 2), good("a", 3))},
+			applied: 3, want: view{"a": "3", "b": "2"},
+		},
+		"duplicated": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(0, 1, good("a", 1)), watch(1, 2, gone("a", 2)), watch(0, 1, good("a", 1))},
+			applied: 2, want: view{},
+		},
+		"two operators race on one record": {
+			deltas:  []merger.Delta{watch(0, 0, good("a", 6)), watch(0, 0, good("a", 5)), watch(0, 6, good("a", 6))},
+			applied: 6, want: view{"a": "6"},
+		},
+		"gap": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(2, 3, good("a", 3))},
+			applied: 1, want: view{"a": "3"},
+		},
+		"full list drops what is absent": {
+			deltas:  []merger.Delta{watch(0, 2, good("a", 1), good("b", 2)), merger.FullDelta(4, []flow.RawRecord{good("a", 1)})},
+			applied: 4, want: view{"a": "1"},
+		},
+		"full list keeps a newer record": {
+			deltas:  []merger.Delta{watch(0, 2, good("a", 1), good("b", 2)), watch(5, 6, good("b", 6)), merger.FullDelta(4, []flow.RawRecord{good("a", 1)})},
+			applied: 4, want: view{"a": "1", "b": "6"},
+		},
+		"dropped record does not come back": {
+			deltas:  []merger.Delta{watch(0, 2, good("a", 1), good("b", 2)), merger.FullDelta(4, nil), watch(4, 5, good("c", 5), good("b", 2))},
+			applied: 5, want: view{"c": "5"},
+		},
+		"full list of a revision that is applied drops nothing": {
+			deltas:  []merger.Delta{watch(0, 2, good("a", 1), good("b", 2)), merger.FullDelta(2, nil)},
+			applied: 2, want: view{"a": "1", "b": "2"},
+		},
+		"bad, then good": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(1, 2, bad("a", 2)), watch(2, 3, good("a", 3))},
+			applied: 3, want: view{"a": "3"},
+		},
+		"bad keeps the last good in force": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(1, 3, bad("a", 2), bad("a", 3), good("b", 3))},
+			applied: 3, faults: 1, want: view{"a": "1", "b": "3"},
+		},
+		"bad, then tombstone": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(1, 2, bad("a", 2)), watch(2, 3, gone("a", 3))},
+			applied: 3, want: view{},
+		},
+		"tombstone, then bad": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), watch(1, 2, gone("a", 2)), watch(2, 3, bad("a", 3))},
+			applied: 3, faults: 1, want: view{},
+		},
+		"late good under a bad latest": {
+			deltas:  []merger.Delta{watch(0, 3, bad("a", 3)), watch(0, 3, good("a", 2)), watch(0, 3, good("a", 1))},
+			applied: 3, faults: 1, want: view{"a": "2"},
+		},
+		"late good under a bad latest of a peer": {
+			deltas: []merger.Delta{{To: 3, Last: true, Entries: []merger.Entry{
+				{Latest: bad("a", 3), Good: &flow.RawRecord{Kind: flow.KindCustomer, Name: "a", Revision: 2, Body: good("a", 2).Body}},
+			}}},
+			applied: 3, faults: 1, want: view{"a": "2"},
+		},
+		"parts complete only with the last": {
+			deltas:  []merger.Delta{part(0, 1, 3, good("a", 1)), part(1, 2, 3, good("b", 2))},
+			applied: 0, want: view{"a": "1", "b": "2"},
+		},
+		"parts of two senders": {
+			deltas:  []merger.Delta{part(0, 1, 3, good("a", 1)), watch(1, 4, good("c", 3), good("b", 4))},
+			applied: 4, want: view{"a": "1", "b": "4", "c": "3"},
+		},
+		"parts of a sender that lags": {
+			// The first sender held b back, since it changed at 3; the second
+			// knows only b of revision 1, which lies below the cursor.
+			deltas:  []merger.Delta{part(0, 1, 3, good("a", 1)), watch(1, 2, good("c", 2))},
+			applied: 0, want: view{"a": "1", "c": "2"},
+		},
+		"delta of a sender that lags": {
+			deltas:  []merger.Delta{watch(0, 3, good("a", 3)), watch(3, 2, good("b", 9))},
+			applied: 3, want: view{"a": "3"},
+		},
+		"delta from below the sender's horizon": {
+			deltas:  []merger.Delta{watch(0, 1, good("a", 1)), {From: 1, To: 5, Last: true, Horizon: 3}},
+			applied: 1, want: view{"a": "1"},
+		},
+		"full parts of a third sender that forgot a tombstone": {
+			// a was deleted at 5, which the second sender knows and has not
+			// sent yet, and the third has forgotten.
+			deltas: []merger.Delta{
+				{To: 3, Full: true, Cursor: 1, Entries: []merger.Entry{{Latest: good("a", 1)}}},
+				{From: 1, To: 6, Full: true, Cursor: 2, Horizon: 3, Entries: []merger.Entry{{Latest: good("b", 2)}}},
+				{From: 2, To: 7, Full: true, Last: true, Horizon: 6, Entries: []merger.Entry{{Latest: good("c", 7)}}},
+			},
+			applied: 0, want: view{"a": "1", "b": "2", "c": "7"},
+		},
+		"tombstones above applied are never forgotten": {
+			deltas:     []merger.Delta{watch(5, 7, gone("b", 6), gone("c", 7)), watch(0, 2, good("a", 2)), watch(2, 4, good("b", 4))},
+			tombstones: 1, applied: 4, want: view{"a": "2"},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := merger.New(cmp.Or(tc.tombstones, merger.TombstoneLimit))
+			got := view{}
+			for _, delta := range tc.deltas {
+				is.NoErr(got.apply(m.Merge(0, delta)))
+			}
+			is.Equal(m.Applied(), tc.applied)
+			is.Equal(got, tc.want)
+			is.Equal(m.FaultCount(), tc.faults)
+		})
+	}
+}
+
+func TestFaultsAreReported(t *testing.T) {
+	is := is.New(t)
+	m := merger.New(merger.TombstoneLimit)
+	m.Merge(10, watch(0, 1, good("a", 1)))
+	m.Merge(20, watch(1, 2, bad("a", 2)))
+	m.Merge(30, watch(2, 4, bad("a", 3), bad("b", 4)))
+	faults := m.Faults(5)
+	is.Equal(len(faults), 2)
+	is.True(faults[0].Problem != "")
+	is.Equal(faults[0].GoodRevision, flow.Revision(0))
+	faults[1].Problem = ""
+	is.Equal(faults[1], merger.Fault{ID: good("a", 3).ID(), Revision: 3, GoodRevision: 1, Since: 20})
+	is.Equal(len(m.Faults(1)), 1)
+}
+
+func TestHighestIsHeardByEveryWay(t *testing.T) {
+	is := is.New(t)
+	m := merger.New(merger.TombstoneLimit)
+	m.Merge(0, watch(0, 2, good("a", 1)))
+	is.Equal(m.Highest(), m.Applied())
+	m.Heard(5)
+	m.Heard(4)
+	is.Equal(m.Highest(), flow.Revision(5))
+	m.Merge(0, part(2, 3, 9, good("a", 3)))
+	is.Equal(m.Highest(), flow.Revision(9))
+	m.Merge(0, watch(20, 2, good("a", 21)))
+	is.Equal(m.Highest(), flow.Revision(21))
+	is.Equal(m.Applied(), flow.Revision(2))
+}
+
+// A sender that is complete to the asker's revision only sends what changed,
+// with the last good version of what is bad, and nothing while it is itself in
+// the midst of a sequence.
+func TestDeltaHoldsWhatTheAskerLacks(t *testing.T) {
+	is := is.New(t)
+	m := merger.New(merger.TombstoneLimit)
+	m.Merge(0, watch(0, 3, good("a", 1), good("b", 2), good("c", 3)))
+	m.Merge(0, watch(3, 5, bad("b", 4), gone("a", 5)))
+	old := good("b", 2)
+	delta := m.Delta(merger.Request{From: 3}, wholeDelta)
+	is.Equal(delta, merger.Delta{
+		From: 3, To: 5, Last: true, Cursor: 5,
+		Entries: []merger.Entry{{Latest: bad("b", 4), Good: &old}, {Latest: gone("a", 5)}},
+	})
+	encoded, err := msgpack.Marshal(delta)
+	is.NoErr(err)
+	var decoded merger.Delta
+	is.NoErr(msgpack.Unmarshal(encoded, &decoded))
+	is.Equal(decoded, delta)
+
+	m.Merge(0, part(5, 7, 9, good("d", 7)))
+	is.Equal(m.Delta(merger.Request{From: 3}, wholeDelta), merger.Delta{From: 3, To: 5, Cursor: 3})
+}
+
+func TestForgottenTombstonesNeedAFullDelta(t *testing.T) {
+	is := is.New(t)
+	sender := merger.New(2)
+	receiver := merger.New(2)
+	first := watch(0, 4, good("a", 1), good("b", 2), good("c", 3), good("d", 4))
+	sender.Merge(0, first)
+	receiver.Merge(0, first)
+	sender.Merge(0, watch(4, 8, gone("a", 5), gone("b", 6), gone("c", 7), good("e", 8)))
+
+	delta := sender.Delta(receiver.Next(), 1)
+	is.True(delta.Full)
+	is.Equal(delta.Horizon, flow.Revision(5))
+	got := view{"a": "1", "b": "2", "c": "3", "d": "4"}
+	for parts := 0; receiver.Applied() < sender.Applied(); parts++ {
+		is.True(parts < 5)
+		is.Equal(receiver.Applied(), flow.Revision(4))
+		is.NoErr(got.apply(receiver.Merge(0, sender.Delta(receiver.Next(), 1))))
+	}
+	is.Equal(got, view{"d": "4", "e": "8"})
+	is.Equal(receiver.Delta(merger.Request{From: 4}, wholeDelta).Full, true)
+	is.NoErr(got.apply(receiver.Merge(0, watch(4, 8, good("a", 1)))))
+	is.Equal(got, view{"d": "4", "e": "8"})
+}
--- /dev/null
+++ b/pkg/parser/fault.go
@@ -0,0 +1,96 @@
+// Faults say what is wrong with a document and what is allowed instead. They
+// are data, so that a tool can print them, and one line each.
+
+package parser
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// The steps that errors of this package carry.
+const (
+	StepParseSettings flow.Step = "parse-settings"
+	StepReadSettings  flow.Step = "read-settings"
+	StepParseRecord   flow.Step = "parse-record"
+	StepReadRecords   flow.Step = "read-records"
+	StepCheckRecords  flow.Step = "check-records"
+)
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	Line    int    // line of the document, counted from 1
+	Field   string // empty when the fault is not one of a single field
+	Problem string // what is wrong and what is allowed
+}
+
+// Error returns the field and the problem in one line.
+func (f *Fault) Error() string {
+	if f.Field == "" {
+		return f.Problem
+	}
+	return f.Field + ": " + f.Problem
+}
+
+// Faults are all faults of one document.
+type Faults []*Fault
+
+// Error returns all faults in one line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// UnknownKindError says that a record is of a kind that this version of the
+// program does not know.
+type UnknownKindError struct {
+	Kind  flow.Kind
+	Known []flow.Kind
+}
+
+// Error names the kind and the known ones.
+func (e *UnknownKindError) Error() string {
+	known := make([]string, len(e.Known))
+	for i, kind := range e.Known {
+		known[i] = string(kind)
+	}
+	return fmt.Sprintf("kind %q is not known; known: %s", e.Kind, strings.Join(known, ", "))
+}
+
+// UnknownSchemaError says that a record is of a schema version that this
+// version of the program does not know.
+type UnknownSchemaError struct {
+	Kind   flow.Kind
+	Schema int
+	Known  []int
+}
+
+// Error names the schema version and the known ones.
+func (e *UnknownSchemaError) Error() string {
+	known := make([]string, len(e.Known))
+	for i, schema := range e.Known {
+		known[i] = strconv.Itoa(schema)
+	}
+	return fmt.Sprintf("schema %d of kind %s is not known; known: %s", e.Schema, e.Kind, strings.Join(known, ", "))
+}
+
+// -----------------------------------------------------------------------------
+
+// wrapFaults gives each fault its step and the file and line as its peer.
+func wrapFaults(step flow.Step, file string, faults Faults) []error {
+	var wrapped []error
+	for _, fault := range faults {
+		wrapped = append(wrapped, flow.Wrap(step, position(file, fault.Line), fault))
+	}
+	return wrapped
+}
+
+func position(file string, line int) string {
+	return file + ":" + strconv.Itoa(line)
+}
--- /dev/null
+++ b/pkg/parser/settings_reference.go
@@ -0,0 +1,57 @@
+// The reference page of the settings, written from their table.
+
+package parser
+
+import (
+	"strconv"
+	"strings"
+)
+
+const referenceHead = `# Settings
+
+A daemon reads its settings once, from one file of JSON with comments. Unknown
+fields are refused. Durations are texts such as "250ms", byte sizes are whole
+numbers or texts such as "1MiB", and addresses hold IP numbers, never names.
+
+| Setting | Type | Default | Allowed | Meaning |
+|---|---|---|---|---|
+`
+
+// SettingsReference returns the reference page of all settings in Markdown.
+func SettingsReference() string {
+	var page strings.Builder
+	page.WriteString(referenceHead)
+	for _, row := range settingRows {
+		cells := []string{"`" + row.Name + "`", string(row.Type), row.defaultCell(), row.allowedCell(), row.Help}
+		page.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+	}
+	return page.String()
+}
+
+func (row SettingRow) defaultCell() string {
+	switch {
+	case row.Required:
+		return "required"
+	case row.Default == "":
+		return "none"
+	}
+	return "`" + row.Default + "`"
+}
+
+func (row SettingRow) allowedCell() string {
+	switch row.Type {
+	case SettingName:
+		return allowedName
+	case SettingBindAddress:
+		return allowedBind
+	case SettingAddress, SettingAddresses:
+		return allowedAddress
+	case SettingURLs:
+		return "at least one of " + allowedURL
+	case SettingSecret:
+		return "at least " + strconv.Itoa(SecretLeast) + " bytes"
+	case SettingChoice:
+		return "`" + strings.Join(row.Choices, "`, `") + "`"
+	}
+	return "`" + row.Least + "` to `" + row.Most + "`"
+}
--- /dev/null
+++ b/pkg/parser/settings_table.go
@@ -0,0 +1,350 @@
+// The table of all settings. The parser, the reference page and the checks
+// between settings follow from it.
+
+package parser
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// SettingType is the form of the value of a setting.
+type SettingType string
+
+// The types of settings.
+const (
+	SettingName        SettingType = "name"
+	SettingBindAddress SettingType = "ip:port"
+	SettingAddress     SettingType = "ip:port to dial"
+	SettingAddresses   SettingType = "array of ip:port"
+	SettingURLs        SettingType = "array of URLs"
+	SettingSecret      SettingType = "secret text"
+	SettingChoice      SettingType = "word"
+	SettingDuration    SettingType = "duration"
+	SettingInteger     SettingType = "whole number"
+	SettingBytes       SettingType = "byte size"
+)
+
+// SettingRow describes one setting. Default, Least and Most are written as in
+// the settings file.
+type SettingRow struct {
+	Name     string
+	Type     SettingType
+	Required bool
+	Default  string
+	Least    string
+	Most     string
+	Choices  []string
+	Help     string
+
+	target func(*Settings) any // pointer to the field that the setting fills
+}
+
+// SettingRows returns the table of all settings.
+func SettingRows() []SettingRow {
+	return settingRows
+}
+
+// SecretLeast is the fewest bytes of the secret.
+const SecretLeast = 16
+
+var settingRows = []SettingRow{
+	{
+		Name: "host", Type: SettingName, Required: true,
+		Help:   "Name of the host, as in its host record.",
+		target: func(s *Settings) any { return &s.Host },
+	},
+	{
+		Name: "region", Type: SettingName, Required: true,
+		Help:   "Region of the host. Freshness is proved by a majority of the region's hosts.",
+		target: func(s *Settings) any { return &s.Region },
+	},
+	{
+		Name: "availability-zone", Type: SettingName, Required: true,
+		Help:   "Availability zone of the host.",
+		target: func(s *Settings) any { return &s.AvailabilityZone },
+	},
+	{
+		Name: "caller-address", Type: SettingBindAddress, Required: true,
+		Help:   "Where callers' requests come in. Port 0 takes any free port.",
+		target: func(s *Settings) any { return &s.Addresses.Caller },
+	},
+	{
+		Name: "data-address", Type: SettingBindAddress, Required: true,
+		Help:   "Where requests forwarded by other daemons come in.",
+		target: func(s *Settings) any { return &s.Addresses.Data },
+	},
+	{
+		Name: "peer-address", Type: SettingBindAddress, Required: true,
+		Help:   "Where control connections of other daemons come in.",
+		target: func(s *Settings) any { return &s.Addresses.Peer },
+	},
+	{
+		Name: "operator-address", Type: SettingBindAddress, Required: true,
+		Help:   "Where status, readiness and metrics are served.",
+		target: func(s *Settings) any { return &s.Addresses.Operator },
+	},
+	{
+		Name: "advertised-data-address", Type: SettingAddress,
+		Help:   "What other daemons dial in place of data-address.",
+		target: func(s *Settings) any { return &s.Addresses.AdvertisedData },
+	},
+	{
+		Name: "advertised-peer-address", Type: SettingAddress,
+		Help:   "What other daemons dial in place of peer-address.",
+		target: func(s *Settings) any { return &s.Addresses.AdvertisedPeer },
+	},
+	{
+		Name: "platform", Type: SettingURLs, Required: true,
+		Help:   "Base URLs of the platform's configuration service.",
+		target: func(s *Settings) any { return &s.Platform },
+	},
+	{
+		Name: "seeds", Type: SettingAddresses, Default: "[]",
+		Help:   "Peer addresses of daemons to ask first, before any host record is known.",
+		target: func(s *Settings) any { return &s.Seeds },
+	},
+	{
+		Name: "secret", Type: SettingSecret, Required: true,
+		Help:   "Shared by all daemons of the fleet; it signs what they send each other. At least " + strconv.Itoa(SecretLeast) + " bytes.",
+		target: func(s *Settings) any { return &s.Secret },
+	},
+	{
+		Name: "log-level", Type: SettingChoice, Default: LogInfo, Choices: []string{LogError, LogInfo, LogDebug},
+		Help:   "How much is logged.",
+		target: func(s *Settings) any { return &s.LogLevel },
+	},
+	{
+		Name: "lease-timeout", Type: SettingDuration, Default: "3s", Least: "500ms", Most: "3s",
+		Help:   "How old the proof from a majority of the region's hosts may be while the daemon takes work. At least 4 heartbeat intervals; the same on all hosts.",
+		target: func(s *Settings) any { return &s.Lease.Timeout },
+	},
+	{
+		Name: "heartbeat-interval", Type: SettingDuration, Default: "250ms", Least: "20ms", Most: "1s",
+		Help:   "Time between two rounds of heartbeats.",
+		target: func(s *Settings) any { return &s.Lease.HeartbeatInterval },
+	},
+	{
+		Name: "heartbeat-fanout", Type: SettingInteger, Default: "3", Least: "1", Most: "8",
+		Help:   "Peers asked in each round of heartbeats.",
+		target: func(s *Settings) any { return &s.Lease.HeartbeatFanout },
+	},
+	{
+		Name: "readers-per-zone", Type: SettingInteger, Default: "2", Least: "1", Most: "8",
+		Help:   "Daemons of each availability zone that watch the platform for the others.",
+		target: func(s *Settings) any { return &s.Reading.ReadersPerZone },
+	},
+	{
+		Name: "platform-calls-per-second", Type: SettingInteger, Default: "100", Least: "1", Most: "2000",
+		Help:   "Calls a second to the platform that the whole fleet may make.",
+		target: func(s *Settings) any { return &s.Reading.PlatformCallsPerSecond },
+	},
+	{
+		Name: "token-lifetime", Type: SettingDuration, Default: "1s", Least: "100ms", Most: "2s",
+		Help:   "How long a daemon may keep rate tokens that it leased from their owner. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Rate.TokenLifetime },
+	},
+	{
+		Name: "rate-shares", Type: SettingInteger, Default: "4", Least: "1", Most: "16",
+		Help:   "Most shares that a customer's rate is cut into, each owned by one daemon. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Rate.Shares },
+	},
+	{
+		Name: "permit-lifetime", Type: SettingDuration, Default: "1s", Least: "100ms", Most: "2s",
+		Help:   "How long a forwarded request may take to reach the backend server's daemon. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Rate.PermitLifetime },
+	},
+	{
+		Name: "answer-buffer", Type: SettingBytes, Default: "1MiB", Least: "0B", Most: "64MiB",
+		Help:   "Answers up to this size are held until they are whole; larger ones are streamed.",
+		target: func(s *Settings) any { return &s.Transport.AnswerBuffer },
+	},
+	{
+		Name: "request-body-limit", Type: SettingBytes, Default: "8MiB", Least: "1KiB", Most: "1GiB",
+		Help:   "Largest body of a request.",
+		target: func(s *Settings) any { return &s.Transport.RequestBodyLimit },
+	},
+	{
+		Name: "header-limit", Type: SettingBytes, Default: "32KiB", Least: "1KiB", Most: "1MiB",
+		Help:   "Largest header of a request.",
+		target: func(s *Settings) any { return &s.Transport.HeaderLimit },
+	},
+	{
+		Name: "header-timeout", Type: SettingDuration, Default: "5s", Least: "100ms", Most: "1m",
+		Help:   "How long a caller may take to send the header of a request.",
+		target: func(s *Settings) any { return &s.Transport.HeaderTimeout },
+	},
+	{
+		Name: "connections-limit", Type: SettingInteger, Default: "4000", Least: "1", Most: "100000",
+		Help:   "Connections of callers that the daemon holds at once.",
+		target: func(s *Settings) any { return &s.Transport.ConnectionsLimit },
+	},
+	{
+		Name: "peer-frame-limit", Type: SettingBytes, Default: "4MiB", Least: "64KiB", Most: "64MiB",
+		Help:   "Largest message on a control connection. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Transport.PeerFrameLimit },
+	},
+	{
+		Name: "idempotency-window", Type: SettingDuration, Default: "2m", Least: "1s", Most: "1h",
+		Help:   "How long a request with an idempotency key is remembered. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Idempotency.Window },
+	},
+	{
+		Name: "clock-skew", Type: SettingDuration, Default: "5s", Least: "0s", Most: "5m",
+		Help:   "Most difference between the wall clocks of callers and hosts. Less than idempotency-window.",
+		target: func(s *Settings) any { return &s.Idempotency.ClockSkew },
+	},
+	{
+		Name: "retry-attempts", Type: SettingInteger, Default: "3", Least: "1", Most: "5",
+		Help:   "Most attempts at one request, the first included.",
+		target: func(s *Settings) any { return &s.Retry.Attempts },
+	},
+	{
+		Name: "stop-grace", Type: SettingDuration, Default: "10s", Least: "0s", Most: "10m",
+		Help:   "How long a stopping daemon waits for requests in flight.",
+		target: func(s *Settings) any { return &s.Stop.Grace },
+	},
+	{
+		Name: "zone-out-grace", Type: SettingDuration, Default: "3s", Least: "0s", Most: "1m",
+		Help:   "How long the daemons of an availability zone that was taken out still pass callers' requests on to other zones.",
+		target: func(s *Settings) any { return &s.Stop.ZoneOutGrace },
+	},
+	{
+		Name: "customers-in-metrics", Type: SettingInteger, Default: "200", Least: "1", Most: "10000",
+		Help:   "Customers with histograms of their own; all others share one.",
+		target: func(s *Settings) any { return &s.Metrics.Customers },
+	},
+	{
+		Name: "limiter", Type: SettingChoice, Default: LimiterAIMD, Choices: []string{LimiterAIMD, LimiterFixed, LimiterGradient},
+		Help:   "How the concurrency limit of a backend server is found.",
+		target: func(s *Settings) any { return &s.Behaviour.Limiter },
+	},
+	{
+		Name: "picker", Type: SettingChoice, Default: PickerTwoChoices, Choices: []string{PickerTwoChoices, PickerRoundRobin},
+		Help:   "How a backend server is chosen for a request.",
+		target: func(s *Settings) any { return &s.Behaviour.Picker },
+	},
+	{
+		Name: "ejector", Type: SettingChoice, Default: EjectorRobust, Choices: []string{EjectorRobust, EjectorNone},
+		Help:   "How failing backend servers are ejected.",
+		target: func(s *Settings) any { return &s.Behaviour.Ejector },
+	},
+	{
+		Name: "rate-split", Type: SettingChoice, Default: RateSplitLeased, Choices: []string{RateSplitLeased, RateSplitSingleOwner, RateSplitStatic},
+		Help:   "How a customer's rate is shared between daemons. The same on all hosts.",
+		target: func(s *Settings) any { return &s.Behaviour.RateSplit },
+	},
+}
+
+// -----------------------------------------------------------------------------
+
+// leaseHeartbeats is the fewest heartbeat intervals in a lease timeout.
+const leaseHeartbeats = 4
+
+// settingCheck is a condition between several settings.
+type settingCheck struct {
+	field   string // the setting to which a fault points
+	problem string
+	holds   func(*Settings) bool
+}
+
+var settingChecks = []settingCheck{
+	{
+		field:   "heartbeat-interval",
+		problem: "is too long; allowed: at most a quarter of lease-timeout",
+		holds:   func(s *Settings) bool { return s.Lease.Timeout >= leaseHeartbeats*s.Lease.HeartbeatInterval },
+	},
+	{
+		field:   "clock-skew",
+		problem: "is too long; allowed: less than idempotency-window",
+		holds:   func(s *Settings) bool { return s.Idempotency.ClockSkew < s.Idempotency.Window },
+	},
+	{
+		field:   "caller-address",
+		problem: "shares its address with data-address, peer-address or operator-address, or two of these share one; allowed: four different ones (or port 0)",
+		holds:   func(s *Settings) bool { return distinctAddresses(s.Addresses) },
+	},
+	{
+		field:   "advertised-data-address",
+		problem: "is the same as advertised-peer-address; allowed: a different one",
+		holds: func(s *Settings) bool {
+			return s.Addresses.AdvertisedData == "" || s.Addresses.AdvertisedData != s.Addresses.AdvertisedPeer
+		},
+	},
+}
+
+// distinctAddresses reports whether no two listeners share a fixed port.
+func distinctAddresses(a AddressSettings) bool {
+	seen := map[string]bool{}
+	for _, address := range []string{a.Caller, a.Data, a.Peer, a.Operator} {
+		if address == "" || strings.HasSuffix(address, ":0") {
+			continue
+		}
+		if seen[address] {
+			return false
+		}
+		seen[address] = true
+	}
+	return true
+}
+
+// -----------------------------------------------------------------------------
+
+// read takes the row's setting from d into target.
+func (row SettingRow) read(d *document, target any) {
+	switch target := target.(type) {
+	case *string:
+		*target = row.readText(d)
+	case *[]string:
+		*target = row.readTexts(d)
+	case *int:
+		*target = d.integer(row.Name, integerText(row.Default), integerText(row.Least), integerText(row.Most))
+	case *time.Duration:
+		*target = d.duration(row.Name, durationText(row.Default), durationText(row.Least), durationText(row.Most))
+	case *ByteSize:
+		*target = d.byteSize(row.Name, byteSizeText(row.Default), byteSizeText(row.Least), byteSizeText(row.Most))
+	}
+}
+
+func (row SettingRow) readText(d *document) string {
+	switch row.Type {
+	case SettingName:
+		return d.name(row.Name)
+	case SettingSecret:
+		return d.secret(row.Name, SecretLeast)
+	case SettingBindAddress:
+		return d.requiredText(row.Name, allowedBind, isBindAddress)
+	case SettingAddress:
+		return d.optionalText(row.Name, allowedAddress, isAddress)
+	}
+	return d.choice(row.Name, row.Default, row.Choices...)
+}
+
+func (row SettingRow) readTexts(d *document) []string {
+	if row.Type == SettingAddresses {
+		return d.texts(row.Name, allowedAddress, isAddress)
+	}
+	faults := len(d.faults)
+	urls := d.texts(row.Name, allowedURL, isPlatformURL)
+	if len(urls) == 0 && len(d.faults) == faults {
+		d.fault(d.lineOf(row.Name), row.Name, "names no URL; allowed: at least one of "+allowedURL)
+	}
+	return urls
+}
+
+// integerText, durationText and byteSizeText parse texts of the table itself.
+func integerText(text string) int {
+	number, _ := strconv.Atoi(text)
+	return number
+}
+
+func durationText(text string) time.Duration {
+	duration, _ := time.ParseDuration(text)
+	return duration
+}
+
+func byteSizeText(text string) ByteSize {
+	size, _ := parseByteSize(text)
+	return size
+}
--- /dev/null
+++ b/pkg/parser/settings_test.go
@@ -0,0 +1,160 @@
+package parser_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/pkg/parser"
+)
+
+var update = flag.Bool("update", false, "write the reference page of the settings")
+
+const smallestSettings = `{
+	// the least that a daemon needs
+	"host": "h1", "region": "ge-east", "availability-zone": "tbs-a",
+	"caller-address": "127.0.0.1:0",
+	"data-address": "127.0.0.1:0",
+	"peer-address": "127.0.0.1:0",
+	"operator-address": "[::1]:0",
+	"platform": ["http://127.0.0.1:9000"],
+	"secret": "0123456789abcdef",
+}`
+
+// withSetting returns the smallest settings with one more line, the tenth.
+func withSetting(line string) string {
+	return strings.TrimSuffix(smallestSettings, "}") + line + "\n}"
+}
+
+func TestSmallestSettingsTakeDefaults(t *testing.T) {
+	is := is.New(t)
+	settings, errs := parser.ParseSettings("s.hujson", []byte(smallestSettings))
+	is.Equal(errs, nil)
+	is.Equal(settings.Lease, parser.LeaseSettings{Timeout: 3 * time.Second, HeartbeatInterval: 250 * time.Millisecond, HeartbeatFanout: 3})
+	is.Equal(settings.Transport.AnswerBuffer, parser.MiB)
+	is.Equal(settings.Behaviour.RateSplit, parser.RateSplitLeased)
+	is.Equal(settings.Addresses.DialledPeer(), "127.0.0.1:0")
+}
+
+// The defaults of the table pass its own checks when they are written out.
+func TestEveryDefaultMayBeWritten(t *testing.T) {
+	for _, row := range parser.SettingRows() {
+		if row.Required || row.Default == "" {
+			continue
+		}
+		t.Run(row.Name, func(t *testing.T) {
+			is := is.New(t)
+			value := row.Default
+			if row.Type != parser.SettingInteger && row.Type != parser.SettingAddresses {
+				value = `"` + value + `"`
+			}
+			written, errs := parser.ParseSettings("s", []byte(withSetting(`"`+row.Name+`": `+value)))
+			is.Equal(errs, nil)
+			standard, errs := parser.ParseSettings("s", []byte(smallestSettings))
+			is.Equal(errs, nil)
+			is.Equal(written, standard)
+		})
+	}
+}
+
+func TestSettingsFaults(t *testing.T) {
+	cases := map[string]struct {
+		content string
+		want    []string
+	}{
+		"unknown field": {
+			content: withSetting(`"lease-timout": "2s"`),
+			want:    []string{`parse-settings: s:10: lease-timout: is not a known field; known: host, region,`},
+		},
+		"outside the range": {
+			content: withSetting(`"lease-timeout": "4s"`),
+			want:    []string{`parse-settings: s:10: lease-timeout: is "4s"; allowed: a duration from "500ms" to "3s"`},
+		},
+		"every fault is listed": {
+			content: withSetting("\"limiter\": \"magic\",\n\"rate-shares\": 2.5,\n\"header-limit\": \"1kB\",\n\"seeds\": [\"localhost:1\"]"),
+			want: []string{
+				`s:13: seeds: is "localhost:1"; allowed: an array of an IP number`,
+				`s:11: rate-shares: is 2.5; allowed: a whole number from 1 to 16`,
+				`s:12: header-limit: is "1kB"; allowed: a number of bytes or a text from "1KiB" to "1MiB"`,
+				`s:10: limiter: is "magic"; allowed: aimd, fixed, gradient`,
+			},
+		},
+		"duration without a unit": {
+			content: withSetting(`"stop-grace": 10`),
+			want:    []string{`s:10: stop-grace: is 10; allowed: a duration from "0s" to "10m"`},
+		},
+		"twice": {
+			content: withSetting(`"host": "h2"`),
+			want:    []string{`s:10: host: stands twice`},
+		},
+		"too few heartbeats in a lease": {
+			content: withSetting(`"lease-timeout": "500ms", "heartbeat-interval": "126ms"`),
+			want:    []string{`s:10: heartbeat-interval: is too long; allowed: at most a quarter of lease-timeout`},
+		},
+		"short secret is not shown": {
+			content: strings.Replace(smallestSettings, "0123456789abcdef", "hidden", 1),
+			want:    []string{`s:9: secret: is too short or not a text; allowed: a text of at least 16 bytes`},
+		},
+		"no platform": {
+			content: strings.Replace(smallestSettings, `"http://127.0.0.1:9000"`, "", 1),
+			want:    []string{`s:8: platform: names no URL`},
+		},
+		"platform by name": {
+			content: strings.Replace(smallestSettings, `127.0.0.1:9000`, "localhost:9000", 1),
+			want:    []string{`s:8: platform: is "http://localhost:9000"; allowed: an array of URLs`},
+		},
+		"missing": {
+			content: strings.Replace(smallestSettings, `"host": "h1",`, "", 1),
+			want:    []string{`s:1: host: is missing; allowed: 1 to 64 lower-case letters`},
+		},
+		"syntax": {
+			content: "{\n\"host\" \"h1\"}",
+			want:    []string{`parse-settings: s:2: is not JSON with comments: column 8: invalid character '"' after object name`},
+		},
+		"too many fields": {
+			content: withSetting(strings.Repeat(`"x": 1, `, 100)),
+			want:    []string{`s:1: has more than 100 fields`},
+		},
+		"not an object": {
+			content: "\n[]",
+			want:    []string{`s:2: must be a JSON object`},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, errs := parser.ParseSettings("s", []byte(tc.content))
+			is.Equal(len(errs), len(tc.want))
+			for i, err := range errs {
+				t.Log(err)
+				is.True(strings.Contains(err.Error(), tc.want[i]))
+				is.True(!strings.Contains(err.Error(), "\n"))
+				is.True(!strings.Contains(err.Error(), "hidden"))
+			}
+		})
+	}
+}
+
+func TestSettingsReferencePageIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	page := filepath.Join("..", "..", "docs", "OPERATORS", "settings.md")
+	if *update {
+		is.NoErr(os.WriteFile(page, []byte(parser.SettingsReference()), 0o644))
+	}
+	written, err := os.ReadFile(page)
+	is.NoErr(err)
+	is.Equal(string(written), parser.SettingsReference()) // run: go test ./pkg/parser -run ReferencePage -update
+}
+
+func TestReadSettingsNamesTheFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "none")
+	_, errs := parser.ReadSettings(path)
+	is.Equal(len(errs), 1)
+	is.True(strings.HasPrefix(errs[0].Error(), "read-settings: "+path))
+}
