Idempotency keys, retry budgets and a network that knows who speaks

The owner of an idempotency key remembers it and its answer; attempts are repeated within the budget of their service; ejections are given up when the servers in service become fewer, since the owner granted them with more in mind. Daemons dial from their own IP number, and the interrupter takes faults by that, so that one direction between two hosts can be lost alone.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -35,15 +35,17 @@
 // Dialer makes calls. It is safe for use by many goroutines.
 type Dialer struct {
 	options framer.Options
+	local   net.Addr
 
 	mu     sync.Mutex
 	peers  map[string]*peer
 	closed bool
 }
 
-// New returns a Dialer that calls with the given options.
-func New(options framer.Options) *Dialer {
-	return &Dialer{options: options, peers: map[string]*peer{}}
+// New returns a Dialer that calls with the given options, from the given local
+// address; nil leaves the choice to the system.
+func New(options framer.Options, local net.Addr) *Dialer {
+	return &Dialer{options: options, local: local, peers: map[string]*peer{}}
 }
 
 // Close closes all connections; later calls fail.
@@ -65,7 +67,7 @@
 	if err != nil {
 		return flow.Wrap(flow.Step(call.String()), address, err)
 	}
-	link, err := p.connect(ctx, d.options)
+	link, err := p.connect(ctx)
 	if err != nil {
 		return flow.Wrap(flow.Step(call.String()), address, err)
 	}
@@ -87,7 +89,7 @@
 	}
 	p, ok := d.peers[address]
 	if !ok {
-		p = &peer{address: address}
+		p = &peer{address: address, local: d.local, options: d.options}
 		d.peers[address] = p
 	}
 	return p, nil
@@ -112,6 +114,8 @@
 // peer is one address and its connection.
 type peer struct {
 	address string
+	local   net.Addr
+	options framer.Options
 
 	mu       sync.Mutex
 	link     *link
@@ -123,9 +127,9 @@
 
 // connect returns the open connection, or opens one. Calls that come while it
 // is being opened wait for it, each no longer than its own context.
-func (p *peer) connect(ctx context.Context, options framer.Options) (*link, error) {
+func (p *peer) connect(ctx context.Context) (*link, error) {
 	for {
-		link, dialing, err := p.current(options)
+		link, dialing, err := p.current()
 		if link != nil || err != nil {
 			return link, err
 		}
@@ -138,7 +142,7 @@
 }
 
 // current returns the open link, why there is none, or the dial under way.
-func (p *peer) current(options framer.Options) (*link, chan struct{}, error) {
+func (p *peer) current() (*link, chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usedAt = time.Now()
@@ -152,14 +156,14 @@
 		return nil, nil, p.failed
 	}
 	p.dialing = make(chan struct{})
-	go p.dial(options)
+	go p.dial()
 	return nil, p.dialing, nil
 }
 
 // dial opens the connection and wakes the calls that wait for it. It ends
 // within dialTimeout and the time limit of the handshake.
-func (p *peer) dial(options framer.Options) {
-	conn, err := dial(p.address, options)
+func (p *peer) dial() {
+	conn, err := p.open()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failed, p.failedAt = err, time.Now()
@@ -184,10 +188,11 @@
 	}
 }
 
-func dial(address string, options framer.Options) (*framer.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+func (p *peer) open() (*framer.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: p.local}
+	conn, err := d.Dial("tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
-	return framer.Client(conn, options)
+	return framer.Client(conn, p.options)
 }
--- a/internal/process/admitter/gate_test.go
+++ b/internal/process/admitter/gate_test.go
@@ -1,6 +1,7 @@
 package admitter_test
 
 import (
+	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,12 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
+// Property tests are repeatable unless a seed is given on the command line.
+var (
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+)
+
 // settable is a limiter whose limit the test chooses.
 type settable struct{ limit int }
 
--- a/internal/process/controller/configuration.go
+++ b/internal/process/controller/configuration.go
@@ -152,6 +152,8 @@
 	c.placer.Update(now, c.prover.Versions())
 	c.cedeMoved(now)
 	c.placeSenders(now)
+	c.serviceShrunk(now)
+	c.setAllServing(now)
 	c.watchZone(now)
 }
 
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/deduplicator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ejector"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/holder"
@@ -65,17 +66,19 @@
 	ranking  rankingOf
 	granter  *granter.Granter
 	ejectors map[string]*ejectorOf
+	memory   *deduplicator.Memory
 	duty     *reader.Duty
 
 	baseline flow.Revision            // the first revision that was applied
 	cuts     map[string]flow.Revision // of changes of a customer's shares since the baseline
 	claiming map[string]bool          // things for which a claim is on the way
 
-	senders  map[string]*sender.Sender
-	ejected  map[string]flow.Time // end of the ejection lease by backend server
-	status   prover.Status
-	stopping bool
-	zoneOut  flow.Time // when the own availability zone was seen out; flow.Never when in
+	senders   map[string]*sender.Sender
+	ejected   map[string]flow.Time   // end of the ejection lease by backend server
+	inService map[string]serviceSize // by service of the own backend servers
+	status    prover.Status
+	stopping  bool
+	zoneOut   flow.Time // when the own availability zone was seen out; flow.Never when in
 
 	asking   map[string]bool // addresses to which a heartbeat is on the way
 	watching bool
@@ -124,15 +127,17 @@
 			MaxCession:  placer.DefaultMaxCession,
 			Retention:   placer.DefaultRetention,
 		}),
-		granter:  granter.New(granterSettings(settings)),
-		ejectors: map[string]*ejectorOf{},
-		duty:     reader.NewDuty(settings.Reading.ReadersPerZone, settings.Reading.PlatformCallsPerSecond, parts.Random),
-		senders:  map[string]*sender.Sender{},
-		ejected:  map[string]flow.Time{},
-		zoneOut:  flow.Never,
-		asking:   map[string]bool{},
-		cuts:     map[string]flow.Revision{},
-		claiming: map[string]bool{},
+		memory:    newMemory(settings),
+		granter:   granter.New(granterSettings(settings)),
+		ejectors:  map[string]*ejectorOf{},
+		duty:      reader.NewDuty(settings.Reading.ReadersPerZone, settings.Reading.PlatformCallsPerSecond, parts.Random),
+		senders:   map[string]*sender.Sender{},
+		ejected:   map[string]flow.Time{},
+		inService: map[string]serviceSize{},
+		zoneOut:   flow.Never,
+		asking:    map[string]bool{},
+		cuts:      map[string]flow.Revision{},
+		claiming:  map[string]bool{},
 	}
 	return c
 }
--- a/internal/process/controller/ejections.go
+++ b/internal/process/controller/ejections.go
@@ -78,7 +78,7 @@
 	now := c.Clock.Now()
 	for _, ejection := range ejections {
 		until := sentAt.Add(ejection.Lifetime)
-		if !now.Before(until) {
+		if !now.Before(until) || c.askedTooEarly(sentAt, ejection.Server) {
 			continue
 		}
 		if _, already := c.ejected[ejection.Server]; !already {
@@ -89,6 +89,43 @@
 	c.setAllServing(now)
 }
 
+// askedTooEarly reports whether an ejection was asked for before the backend
+// servers of the service became fewer.
+func (c *Controller) askedTooEarly(sentAt flow.Time, server string) bool {
+	s, ok := c.senders[server]
+	if !ok {
+		return true
+	}
+	shrunk, ok := c.inService[s.Server().Service]
+	return ok && !sentAt.After(shrunk.since)
+}
+
+// serviceShrunk gives up the ejections of services whose backend servers in
+// service became fewer. The owner granted them with more servers in mind, so
+// that keeping them could leave less than the floor.
+func (c *Controller) serviceShrunk(now flow.Time) {
+	for name, s := range c.senders {
+		service := s.Server().Service
+		count := len(c.serversInService(service))
+		before := c.inService[service]
+		if count < before.count {
+			c.inService[service] = serviceSize{count: count, since: now}
+		} else if count > before.count {
+			c.inService[service] = serviceSize{count: count, since: before.since}
+		}
+		if c.inService[service].since == now {
+			delete(c.ejected, name)
+		}
+	}
+}
+
+// serviceSize is the number of a service's backend servers in service, and when
+// it last fell.
+type serviceSize struct {
+	count int
+	since flow.Time
+}
+
 // endEjections brings backend servers back whose ejection lease has run out.
 func (c *Controller) endEjections(now flow.Time) {
 	ended := false
--- a/internal/process/controller/heartbeat.go
+++ b/internal/process/controller/heartbeat.go
@@ -139,6 +139,8 @@
 		messenger.CallReport:    c.answerReport,
 		messenger.CallCede:      c.answerCede,
 		messenger.CallClaim:     c.answerClaim,
+		messenger.CallBegin:     c.answerBegin,
+		messenger.CallEnd:       c.answerEnd,
 	}
 }
 
--- /dev/null
+++ b/internal/process/controller/idempotency.go
@@ -0,0 +1,134 @@
+// The memory of idempotency keys at their owner, and the way to it.
+
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/deduplicator"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+	"github.com/coltsfootflow/coltsfootflow/pkg/parser"
+)
+
+const (
+	// memoryBytes bounds the memory of idempotency keys.
+	memoryBytes = 16 << 20
+	// memoryEntries bounds the keys in it.
+	memoryEntries = 40_000
+	// endAttempts is how often the end of a run is told before it is given up;
+	// the key then counts as running until it is too old.
+	endAttempts = 4
+	// endPause is the time between two attempts.
+	endPause = 200 * time.Millisecond
+)
+
+func newMemory(settings parser.Settings) *deduplicator.Memory {
+	return deduplicator.New(deduplicator.Options{
+		Window:    settings.Idempotency.Window,
+		ClockSkew: settings.Idempotency.ClockSkew,
+		Entries:   memoryEntries,
+		Bytes:     memoryBytes,
+	})
+}
+
+// idempotencyThing names a customer's key for the placement of ownership.
+func idempotencyThing(customer string, key deduplicator.Key) string {
+	return "idempotency/" + customer + "/" + key.String()
+}
+
+// BeginRequest asks whether a request with an idempotency key may run.
+type BeginRequest struct {
+	Customer string              `msgpack:"c"`
+	Key      deduplicator.Key    `msgpack:"k"`
+	Digest   deduplicator.Digest `msgpack:"d"`
+}
+
+// EndRequest tells the end of a run.
+type EndRequest struct {
+	Customer  string               `msgpack:"c"`
+	Key       deduplicator.Key     `msgpack:"k"`
+	Run       uint64               `msgpack:"r"`
+	Abandoned bool                 `msgpack:"a,omitempty"` // it certainly did not take place
+	Answer    *deduplicator.Answer `msgpack:"w,omitempty"` // nil when it is not known or not kept
+}
+
+// EndAnswer acknowledges an EndRequest.
+type EndAnswer struct{}
+
+// -----------------------------------------------------------------------------
+
+// Begin asks the owner of an idempotency key whether a request may run. It may
+// be called by any goroutine.
+func (c *Controller) Begin(ctx context.Context, request BeginRequest) (deduplicator.Reply, error) {
+	var reply deduplicator.Reply
+	err := c.CallOwner(ctx, idempotencyThing(request.Customer, request.Key), messenger.CallBegin, request, &reply)
+	return reply, err
+}
+
+// End tells the owner of an idempotency key the end of a run, without holding
+// up the caller. It may be called by any goroutine.
+func (c *Controller) End(request EndRequest) {
+	c.start(time.Minute, func(ctx context.Context) {
+		thing := idempotencyThing(request.Customer, request.Key)
+		for range endAttempts {
+			var answer EndAnswer
+			err := c.CallOwner(ctx, thing, messenger.CallEnd, request, &answer)
+			if err == nil {
+				return
+			}
+			c.Log.V(1).Info("end of a run was not answered", "step", "end", "thing", thing, "cause", err.Error())
+			sleep(ctx, endPause)
+		}
+	})
+}
+
+func (c *Controller) answerBegin(ctx context.Context, request any) (any, error) {
+	var asked BeginRequest
+	if err := request.(listener.Request).Decode(&asked); err != nil {
+		return nil, err
+	}
+	var reply deduplicator.Reply
+	return &reply, c.answerOn(ctx, func() error {
+		var err error
+		reply, err = c.begin(c.Clock.Now(), time.Now(), asked)
+		return err
+	})
+}
+
+// begin decides as owner of the key. The wall clock matters because keys carry
+// the time of their making.
+func (c *Controller) begin(now flow.Time, wall time.Time, asked BeginRequest) (deduplicator.Reply, error) {
+	if !c.mayAct(now) {
+		return deduplicator.Reply{}, errNoLease
+	}
+	tenure, held := c.placer.Holds(now, idempotencyThing(asked.Customer, asked.Key), 0)
+	if !held || tenure.Ceded {
+		return deduplicator.Reply{}, errNotOwner
+	}
+	return c.memory.Begin(now, deduplicator.Begin{
+		WallMillis:  wall.UnixMilli(),
+		TenureSince: wall.Add(-now.Sub(tenure.Since)).UnixMilli(),
+		Customer:    asked.Customer,
+		Key:         asked.Key,
+		Digest:      asked.Digest,
+	}), nil
+}
+
+func (c *Controller) answerEnd(ctx context.Context, request any) (any, error) {
+	var asked EndRequest
+	if err := request.(listener.Request).Decode(&asked); err != nil {
+		return nil, err
+	}
+	return &EndAnswer{}, c.answerOn(ctx, func() error {
+		now := c.Clock.Now()
+		if asked.Abandoned {
+			c.memory.Abandon(now, asked.Customer, asked.Key, asked.Run)
+			return nil
+		}
+		c.memory.Finish(now, asked.Customer, asked.Key, asked.Run, asked.Answer)
+		return nil
+	})
+}
--- a/internal/process/deduplicator/memory_test.go
+++ b/internal/process/deduplicator/memory_test.go
@@ -1,6 +1,7 @@
 package deduplicator_test
 
 import (
+	"flag"
 	"net/http"
 	"testing"
 	"time"
@@ -13,6 +14,12 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
+// Property tests are repeatable unless a seed is given on the command line.
+var (
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+)
+
 const wall = int64(1_800_000_000_000) // owner's wall clock at time 0
 
 // keyMade returns the nth key made at that time.
--- a/internal/process/ejector/robust_test.go
+++ b/internal/process/ejector/robust_test.go
@@ -1,6 +1,7 @@
 package ejector_test
 
 import (
+	"flag"
 	"math"
 	"strconv"
 	"testing"
@@ -13,6 +14,9 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
+// Property tests are repeatable unless a seed is given on the command line.
+var _ = flag.Set("rapid.seed", "1")
+
 func newRobust(since flow.Time, servers int, floor float64) ejector.Ejector {
 	return newRobustFor(since, servers, floor, 0)
 }
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -13,6 +13,9 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
+// Property tests are repeatable unless a seed is given on the command line.
+var _ = flag.Set("rapid.seed", "1")
+
 const seeds = 20
 
 // compare adds the gradient limiter to the measurement.
--- a/internal/process/placer/placer.go
+++ b/internal/process/placer/placer.go
@@ -76,6 +76,9 @@
 	since   flow.Time // after this time no other host grants
 	settled bool      // whether since is known
 	owned   bool      // whether the newest version gives the thing to this host
+
+	claimsOver bool      // whether no claims are needed any more
+	clearedAt  flow.Time // then, when the last predecessor's cession ended
 }
 
 // New returns a Placer for a process that starts.
@@ -198,10 +201,17 @@
 	if now < since.Add(grant+p.settings.Margin) {
 		return Tenure{}, false
 	}
-	clearedAt, cleared := p.clearedAt(now, thing, grant)
+	clearedAt, cleared := placed.clearedAt, placed.claimsOver
+	if !cleared {
+		clearedAt, cleared = p.clearedAt(now, thing, grant)
+	}
 	if !cleared {
 		return Tenure{}, false
 	}
+	if !placed.claimsOver && p.claimsOver(now, grant) {
+		placed.clearedAt, placed.claimsOver = clearedAt, true
+		p.placements[thing] = placed
+	}
 	return Tenure{Since: max(since, clearedAt)}, true
 }
 
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -9,6 +9,7 @@
 	"errors"
 	mathrand "math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -82,6 +83,17 @@
 	return binary.BigEndian.Uint64(random[:]) | 1, nil
 }
 
+// localAddress returns what the daemon dials other daemons from: the IP number
+// of its peer address, so that a host with several is known by one. It is nil
+// when that names no single interface.
+func localAddress(peer string) net.Addr {
+	address, err := netip.ParseAddrPort(peer)
+	if err != nil || address.Addr().IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.Addr().AsSlice()}
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.peers, err = net.Listen("tcp", d.settings.Addresses.Peer); err != nil {
@@ -128,7 +140,7 @@
 	metrics := reporter.NewMetrics(settings.Metrics.Customers)
 	clocks := timekeeper.New()
 	signer := permitter.New([]byte(settings.Secret))
-	d.dialer = dialer.New(options)
+	d.dialer = dialer.New(options, localAddress(settings.Addresses.Peer))
 	d.controller = controller.New(controller.Parts{
 		Settings:    settings,
 		Incarnation: incarnation,
@@ -151,6 +163,7 @@
 		Dialer:       d.dialer,
 		Log:          d.log.WithName("forward"),
 		AnswerBuffer: int(settings.Transport.AnswerBuffer),
+		Local:        localAddress(settings.Addresses.Peer),
 	})
 	choosing, err := chooser.New(chooser.Options{
 		Clock:  d.clock,
@@ -181,6 +194,7 @@
 		Leaser:         d.leaser,
 		Chooser:        choosing,
 		Forwarder:      d.forwarder,
+		Deduplicator:   d.controller,
 		Observer:       metrics,
 		Log:            d.log.WithName("ingress"),
 		BodyLimit:      int(settings.Transport.RequestBodyLimit),
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -66,7 +66,8 @@
 	Permitter    *permitter.Permitter
 	Dialer       *dialer.Dialer
 	Log          logr.Logger
-	AnswerBuffer int // bytes
+	AnswerBuffer int      // bytes
+	Local        net.Addr // to dial from; nil leaves the choice to the system
 }
 
 // Forwarder forwards requests. It is safe for use by many goroutines.
@@ -77,20 +78,19 @@
 
 // New returns a Forwarder.
 func New(parts Parts) *Forwarder {
-	return &Forwarder{
-		Parts: parts,
-		transport: &http.Transport{
-			DialContext:            dial,
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    idlePerHost,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: headerLimit,
-		},
+	f := &Forwarder{Parts: parts}
+	f.transport = &http.Transport{
+		DialContext:            f.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerLimit,
 	}
+	return f
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+func (f *Forwarder) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: f.Local}
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/internal/request/receiver/receiver.go
+++ b/internal/request/receiver/receiver.go
@@ -62,6 +62,7 @@
 	Leaser         *leaser.Leaser
 	Chooser        *chooser.Chooser
 	Forwarder      *forwarder.Forwarder
+	Deduplicator   Deduplicator
 	Observer       Observer
 	Log            logr.Logger
 	BodyLimit      int // bytes
@@ -83,6 +84,7 @@
 		{"route", "Finds the route of the method and path.", NewRouter},
 		{"authenticate", "Finds the customer of the key and strips the key.", NewAuthenticator},
 		{"read-body", "Reads the body whole, up to the limit.", NewBodyReader},
+		{"deduplicate", "Looks an idempotency key up at its owner.", NewDeduplicator},
 		{"retry", "Repeats what may be repeated, within the budget and the deadline.", NewRetrier},
 		{"draw", "Draws a token of the customer's rate.", NewDrawer},
 	}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// MostAttempts bounds the attempts of one request, the first included.
-	MostAttempts = 3
 	// LeastTime is the time that must be left of the deadline for a retry.
 	LeastTime = 20 * time.Millisecond
 )
@@ -21,6 +19,7 @@
 	Reason     flow.Reason   // why there was no answer
 	Idempotent bool          // the route says so of the request's method
 	Attempts   int           // attempts made, this one included
+	Most       int           // most attempts of one request, the first included
 	BytesOut   bool          // a part of an answer went out to the caller
 	BodyGone   bool          // the request's body cannot be sent again
 	Left       time.Duration // time until the deadline
@@ -57,7 +56,7 @@
 		return GiveUpMayHaveRun
 	case failure.BodyGone:
 		return GiveUpBodyGone
-	case failure.Attempts >= MostAttempts:
+	case failure.Attempts >= failure.Most:
 		return GiveUpAttempts
 	case failure.Others < 1:
 		return GiveUpNoOtherServer
@@ -83,7 +82,7 @@
 	switch reason {
 	case flow.ReasonNoCapacity, flow.ReasonServerShed, flow.ReasonUnreachable,
 		flow.ReasonLeaving, flow.ReasonEjected, flow.ReasonStopping,
-		flow.ReasonNoLease, flow.ReasonZoneOut, flow.ReasonPermitLate:
+		flow.ReasonNoLease, flow.ReasonZoneOut, flow.ReasonPermitLate, flow.ReasonPermitInvalid:
 		return true
 	case flow.ReasonServerFailed, flow.ReasonAnswerShort, flow.ReasonAnswerForeign, flow.ReasonTimeout:
 		return true
--- a/internal/standin/interrupter/link.go
+++ b/internal/standin/interrupter/link.go
@@ -27,9 +27,10 @@
 	ended       sync.WaitGroup // the listener's and all pumps' goroutines
 
 	mutex    sync.Mutex
-	listener net.Listener // nil while the link is cut or has ended
-	faults   [2]Fault     // by side
-	versions [2]uint64    // counts the changes of faults
+	listener net.Listener        // nil while the link is cut or has ended
+	faults   [2]Fault            // by side
+	from     map[string][2]Fault // by IP number of the caller, in place of faults
+	versions [2]uint64           // counts the changes of faults
 	changed  chan struct{}
 	sessions map[*session]struct{}
 	random   *rand.Rand
@@ -75,6 +76,7 @@
 		faults:      [2]Fault{{Kind: Pass}, {Kind: Pass}},
 		changed:     make(chan struct{}),
 		sessions:    map[*session]struct{}{},
+		from:        map[string][2]Fault{},
 		random:      rand.New(rand.NewPCG(seed, 0)),
 	}
 	if err := l.listen(); err != nil {
@@ -138,6 +140,57 @@
 	return l.applyCut()
 }
 
+// SetFrom puts a fault on a direction of the connections that come from an IP
+// number, in place of the faults of the link. Cut resets those that are open
+// and refuses new ones.
+func (l *Link) SetFrom(ip string, direction Direction, fault Fault) error {
+	if err := direction.check(); err != nil {
+		return err
+	}
+	if err := fault.check(); err != nil {
+		return err
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	faults, ok := l.from[ip]
+	if !ok {
+		faults = [2]Fault{{Kind: Pass}, {Kind: Pass}}
+	}
+	if direction != Backward {
+		faults[forwardSide] = fault
+	}
+	if direction != Forward {
+		faults[backwardSide] = fault
+	}
+	l.from[ip] = faults
+	l.versions[forwardSide]++
+	l.versions[backwardSide]++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	l.cutFrom(ip, faults)
+	return nil
+}
+
+// cutFrom resets the connections from an IP number when its faults demand it.
+func (l *Link) cutFrom(ip string, faults [2]Fault) {
+	if faults[forwardSide].Kind != Cut && faults[backwardSide].Kind != Cut {
+		return
+	}
+	for s := range l.sessions {
+		if s.callerIP == ip {
+			s.reset()
+		}
+	}
+}
+
+// faultsOf returns the faults for the connections from an IP number.
+func (l *Link) faultsOf(ip string) [2]Fault {
+	if faults, ok := l.from[ip]; ok {
+		return faults
+	}
+	return l.faults
+}
+
 func (l *Link) setSide(s side, fault Fault) {
 	l.faults[s] = fault
 	l.versions[s]++
@@ -219,6 +272,7 @@
 	if l.listener == nil {
 		s.reset()
 	}
+	l.cutFrom(s.callerIP, l.faultsOf(s.callerIP))
 	return s
 }
 
--- a/internal/standin/interrupter/session.go
+++ b/internal/standin/interrupter/session.go
@@ -26,7 +26,9 @@
 	caller *net.TCPConn
 	target *net.TCPConn
 	closed chan struct{} // closed when the session is reset
-	once   sync.Once
+
+	callerIP string
+	once     sync.Once
 
 	silent bool    // guarded by the link's mutex
 	lost   [2]bool // a direction lost bytes; guarded by the link's mutex
@@ -40,7 +42,13 @@
 }
 
 func newSession(link *Link, caller, target *net.TCPConn) *session {
-	return &session{link: link, caller: caller, target: target, closed: make(chan struct{})}
+	return &session{
+		link:     link,
+		caller:   caller,
+		target:   target,
+		closed:   make(chan struct{}),
+		callerIP: caller.RemoteAddr().(*net.TCPAddr).IP.String(),
+	}
 }
 
 // reset resets both ends. The link's mutex may be held.
@@ -145,7 +153,7 @@
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
 	silent := p.session.silent || p.session.lost[p.side]
-	return link.faults[p.side], link.versions[p.side], silent
+	return link.faultsOf(p.session.callerIP)[p.side], link.versions[p.side], silent
 }
 
 // -----------------------------------------------------------------------------
@@ -183,7 +191,7 @@
 	link := p.session.link
 	for {
 		link.mutex.Lock()
-		held := link.faults[p.side].Kind == Hold
+		held := link.faultsOf(p.session.callerIP)[p.side].Kind == Hold
 		changed := link.changed
 		link.mutex.Unlock()
 		if !held {
--- a/internal/standin/launcher/plan.go
+++ b/internal/standin/launcher/plan.go
@@ -15,13 +15,14 @@
 
 // Plan describes a fleet.
 type Plan struct {
-	Region    string
-	Zones     []string
-	Hosts     int // in all; spread over the zones in turn
-	Services  []ServicePlan
-	Customers []CustomerPlan
-	ZoneDelay time.Duration // one way between availability zones; needs the interrupter
-	Settings  map[string]any
+	Region      string
+	Zones       []string
+	Hosts       int // in all; spread over the zones in turn
+	Services    []ServicePlan
+	Customers   []CustomerPlan
+	ZoneDelay   time.Duration // one way between availability zones; needs the interrupter
+	CallerDelay time.Duration // one way between callers and daemons; needs the interrupter
+	Settings    map[string]any
 }
 
 // ServicePlan describes a service. Its paths begin with its name; GET and HEAD
--- a/pkg/flow/outcome.go
+++ b/pkg/flow/outcome.go
@@ -64,6 +64,8 @@
 	ReasonIdempotencyKeyRunning Reason = "idempotency-key-running"
 	ReasonIdempotencyKeyTooOld  Reason = "idempotency-key-too-old"
 	ReasonIdempotencyKeyUsed    Reason = "idempotency-key-used"
+	ReasonIdempotencyMismatch   Reason = "idempotency-key-mismatch"
+	ReasonIdempotencyAway       Reason = "idempotency-unavailable"
 )
 
 // ReasonRow describes one reason.
@@ -101,6 +103,8 @@
 	{ReasonIdempotencyKeyRunning, http.StatusConflict, OutcomeUnknown, "A request with this idempotency key is running", "Repeat later with the same idempotency key."},
 	{ReasonIdempotencyKeyUsed, http.StatusConflict, OutcomeUnknown, "A request with this idempotency key ran, and its answer is not kept", "Look up the state of the booking before repeating."},
 	{ReasonIdempotencyKeyTooOld, http.StatusConflict, OutcomeUnknown, "The idempotency key is older than what is remembered", "Look up the state of the booking before repeating with a new idempotency key."},
+	{ReasonIdempotencyMismatch, http.StatusUnprocessableEntity, OutcomeNotRun, "The idempotency key belongs to another request", "Make a new UUIDv7 for each different request."},
+	{ReasonIdempotencyAway, http.StatusServiceUnavailable, OutcomeNotRun, "The memory of idempotency keys cannot take the request just now", "Repeat with the same idempotency key after the time in Retry-After."},
 	{ReasonOverRate, http.StatusTooManyRequests, OutcomeNotRun, "The customer is over its rate", "Repeat after the time in Retry-After."},
 	{ReasonRateUnavailable, http.StatusServiceUnavailable, OutcomeNotRun, "The customer's rate cannot be drawn on just now", "Repeat after the time in Retry-After."},
 	{ReasonNoLease, http.StatusServiceUnavailable, OutcomeNotRun, "The daemon has no proof that its knowledge is fresh", "Ask another host."},
