Cessions and claims in force, and the model check of lease and ownership

Cause: reading the driver of the model check against the controller showed that a moved thing was never ceded (Holds is false once the list has moved), that services and idempotency keys were never claimed, so that a restarted owner held them only after the longest cession (60 s), and that hosts taken out of the list could not be asked while their version still counted. flow.Time.Sub overflowed from Never (TestSpanFromNeverIsLong failed first). Change: Cedable decides; every thing is claimed on demand; the memory of idempotency keys is cut into 256 things, since each has to be claimed; addresses outlive the record until the version is dropped. The first start waits two lease times, as the argument in package prover asks; the demonstration has a lease of 1 s, so that it serves within 5 s.

--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -20,6 +20,9 @@
 
 const (
 	demoHosts = 3
+	// demoLease is shorter than the default, so that the first start, which
+	// waits for several lease times, is quick.
+	demoLease = time.Second
 	// demoStart bounds the start of the fleet.
 	demoStart = 20 * time.Second
 	// demoTimeout bounds one request with its repetitions.
@@ -60,7 +63,9 @@
 
 func runDemo(ctx context.Context, streams commander.Streams, program string) error {
 	fmt.Fprintf(streams.Out, "starting a platform, %d backend servers and %d daemons on loopback\n", demoHosts, demoHosts)
-	fleet, err := launcher.Start(ctx, launcher.Options{Program: program, Plan: launcher.SmallPlan(demoHosts), Log: streams.Err})
+	plan := launcher.SmallPlan(demoHosts)
+	plan.Settings = map[string]any{"lease-timeout": demoLease.String()}
+	fleet, err := launcher.Start(ctx, launcher.Options{Program: program, Plan: plan, Log: streams.Err})
 	if err != nil {
 		return err
 	}
--- a/internal/process/controller/configuration.go
+++ b/internal/process/controller/configuration.go
@@ -146,6 +146,7 @@
 		c.baseline = applied
 	}
 	c.Log.V(1).Info("configuration applied", "revision", applied, "changes", len(changes))
+	c.rememberAddresses()
 	members := c.index.MemberList(c.Settings.Region)
 	c.prover.SetMembers(now, prover.NewMemberList(members.Revision, members.Names))
 	c.prover.SetApplied(now, applied, c.merger.Highest())
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -72,7 +72,7 @@
 
 	baseline flow.Revision            // the first revision that was applied
 	cuts     map[string]flow.Revision // of changes of a customer's shares since the baseline
-	claiming map[string]bool          // things for which a claim is on the way
+	claiming map[string]int           // claims that are on the way, by thing
 
 	senders   map[string]*sender.Sender
 	ejected   map[string]flow.Time   // end of the ejection lease by backend server
@@ -82,11 +82,12 @@
 	stopping  bool
 	zoneOut   flow.Time // when the own availability zone was seen out; flow.Never when in
 
-	asking   map[string]bool // addresses to which a heartbeat is on the way
-	watching bool
-	reading  bool
-	sweepAt  flow.Time
-	reportAt flow.Time
+	asking    map[string]bool   // addresses to which a heartbeat is on the way
+	addresses map[string]string // peer addresses of the hosts of all versions of the list that may count
+	watching  bool
+	reading   bool
+	sweepAt   flow.Time
+	reportAt  flow.Time
 }
 
 // rankingOf is the ranking of one version of the member list.
@@ -116,8 +117,10 @@
 			Incarnation: parts.Incarnation,
 			Started:     parts.Started,
 			LeaseTime:   settings.Lease.Timeout,
-			Fanout:      settings.Lease.HeartbeatFanout,
-			Random:      parts.Random,
+			// The wait that the argument in the package's documentation asks for.
+			FirstStartWait: 2 * settings.Lease.Timeout,
+			Fanout:         settings.Lease.HeartbeatFanout,
+			Random:         parts.Random,
 		}),
 		placer: placer.New(placer.Settings{
 			Host:        settings.Host,
@@ -137,8 +140,9 @@
 		inService: map[string]serviceSize{},
 		zoneOut:   flow.Never,
 		asking:    map[string]bool{},
+		addresses: map[string]string{},
 		cuts:      map[string]flow.Revision{},
-		claiming:  map[string]bool{},
+		claiming:  map[string]int{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -253,6 +257,7 @@
 	c.granter.Sweep(now)
 	c.forgetCuts(now)
 	c.Dialer.Sweep()
+	c.forgetAddresses()
 	c.Timekeeper.Retain(func(host string) bool {
 		_, listed := c.index.Host(host)
 		return listed
--- a/internal/process/controller/ejections.go
+++ b/internal/process/controller/ejections.go
@@ -33,8 +33,11 @@
 	Ejections []flow.Ejection `msgpack:"e,omitempty"`
 }
 
+// servicePrefix begins the names of the ejections of services.
+const servicePrefix = "service/"
+
 // serviceThing names the ejections of a service for the placement of ownership.
-func serviceThing(service string) string { return "service/" + service }
+func serviceThing(service string) string { return servicePrefix + service }
 
 // -----------------------------------------------------------------------------
 
@@ -173,6 +176,7 @@
 	}
 	tenure, held := c.placer.Holds(now, serviceThing(asked.Service), ejectionLifetime)
 	if !held {
+		c.claim(now, serviceThing(asked.Service), nil)
 		delete(c.ejectors, asked.Service)
 		return nil, errNotOwner
 	}
--- a/internal/process/controller/heartbeat.go
+++ b/internal/process/controller/heartbeat.go
@@ -52,8 +52,8 @@
 func (c *Controller) heartbeats(now flow.Time) {
 	targets := c.prover.Targets(now)
 	for _, host := range targets {
-		if record, ok := c.index.Host(host); ok {
-			c.heartbeat(record.PeerAddress)
+		if address, ok := c.addresses[host]; ok {
+			c.heartbeat(address)
 		}
 	}
 	if len(targets) > 0 && c.status.Acting {
@@ -66,6 +66,35 @@
 	}
 }
 
+// rememberAddresses notes the addresses of the hosts of the region. A host that
+// was taken out of the list is asked until its version of the list is dropped.
+func (c *Controller) rememberAddresses() {
+	for _, name := range c.index.HostsOfRegion(c.Settings.Region) {
+		if host, ok := c.index.Host(name); ok {
+			c.addresses[name] = host.PeerAddress
+		}
+	}
+}
+
+// forgetAddresses drops the addresses of hosts that no version of the list
+// names that may still count.
+func (c *Controller) forgetAddresses() {
+	named := map[string]bool{}
+	for _, version := range c.prover.Versions() {
+		if version.Phase == prover.PhaseDropped {
+			continue
+		}
+		for _, name := range version.List.Names {
+			named[name] = true
+		}
+	}
+	for name := range c.addresses {
+		if !named[name] {
+			delete(c.addresses, name)
+		}
+	}
+}
+
 // heartbeat makes one exchange with the daemon at an address, unless one is on
 // the way.
 func (c *Controller) heartbeat(address string) {
--- a/internal/process/controller/idempotency.go
+++ b/internal/process/controller/idempotency.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
@@ -34,9 +36,17 @@
 	})
 }
 
-// idempotencyThing names a customer's key for the placement of ownership.
+// memoryShards is the number of things that the memory is cut into.
+const memoryShards = 256
+
+// idempotencyThing names the shard of the memory that a customer's key belongs
+// to, for the placement of ownership. Shards are few, because a restarted owner
+// has to claim each.
 func idempotencyThing(customer string, key deduplicator.Key) string {
-	return "idempotency/" + customer + "/" + key.String()
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(customer))
+	_, _ = digest.Write(key[:])
+	return fmt.Sprintf("idempotency/%d", digest.Sum32()%memoryShards)
 }
 
 // BeginRequest asks whether a request with an idempotency key may run.
@@ -104,8 +114,10 @@
 	if !c.mayAct(now) {
 		return deduplicator.Reply{}, errNoLease
 	}
-	tenure, held := c.placer.Holds(now, idempotencyThing(asked.Customer, asked.Key), 0)
+	thing := idempotencyThing(asked.Customer, asked.Key)
+	tenure, held := c.placer.Holds(now, thing, c.grantOf(thing))
 	if !held || tenure.Ceded {
+		c.claim(now, thing, nil)
 		return deduplicator.Reply{}, errNotOwner
 	}
 	return c.memory.Begin(now, deduplicator.Begin{
--- a/internal/process/controller/rates.go
+++ b/internal/process/controller/rates.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
-	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/leaser"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/placer"
@@ -27,9 +26,12 @@
 	errNoSuchRecord = errors.New("there is no such record")
 )
 
+// ratePrefix begins the names of shares of rates.
+const ratePrefix = "rate/"
+
 // rateThing names a share of a customer's rate for the placement of ownership.
 func rateThing(key granter.Key) string {
-	return fmt.Sprintf("rate/%s/%d/%d", key.Customer, key.Shares, key.Share)
+	return fmt.Sprintf("%s%s/%d/%d", ratePrefix, key.Customer, key.Shares, key.Share)
 }
 
 func granterSettings(settings parser.Settings) granter.Settings {
@@ -91,6 +93,18 @@
 
 // tenureOf returns the tenure of this host in a share, or why it has none.
 func (c *Controller) tenureOf(now flow.Time, key granter.Key) (granter.Tenure, error) {
+	thing := rateThing(key)
+	tenure, held := c.placer.Holds(now, thing, c.grantLife())
+	if !held {
+		c.claim(now, thing, &key)
+		return granter.Tenure{}, errNotOwner
+	}
+	return c.withLimit(now, key, tenure)
+}
+
+// withLimit completes a tenure in a share by the share's limit and by the time
+// from which its cut is in force.
+func (c *Controller) withLimit(now flow.Time, key granter.Key, tenure placer.Tenure) (granter.Tenure, error) {
 	cut, ok := CutOf(c.index, c.Settings, key.Customer)
 	if !ok {
 		return granter.Tenure{}, errNoSuchRecord
@@ -98,12 +112,6 @@
 	if cut.Shares != key.Shares || key.Share < 0 || key.Share >= cut.Shares {
 		return granter.Tenure{}, errOtherCut
 	}
-	thing := rateThing(key)
-	tenure, held := c.placer.Holds(now, thing, c.grantLife())
-	if !held {
-		c.claim(now, key)
-		return granter.Tenure{}, errNotOwner
-	}
 	cutSince, known := c.cutSince(key.Customer)
 	if !known || now < cutSince.Add(c.grantLife()) {
 		return granter.Tenure{}, errNotOwner
@@ -188,174 +196,3 @@
 	seconds := float64(cut.Limit.Burst+cut.Shares) / cut.Limit.PerSecond()
 	return time.Duration(seconds * float64(time.Second))
 }
-
-// -----------------------------------------------------------------------------
-
-// cedeAll hands what this host owns to the hosts that come next.
-func (c *Controller) cedeAll(now flow.Time) {
-	for _, key := range c.granter.Keys() {
-		c.cede(now, key)
-	}
-}
-
-// cedeMoved hands on what the newest member list gives to another host.
-func (c *Controller) cedeMoved(now flow.Time) {
-	for _, key := range c.granter.Keys() {
-		if owner, _ := c.placer.Owner(rateThing(key)); owner != c.Settings.Host {
-			c.cede(now, key)
-		}
-	}
-}
-
-// cede hands one share to the host that comes next, if that is possible. The
-// cession is sent once; when it is lost, the share moves with the list.
-func (c *Controller) cede(now flow.Time, key granter.Key) {
-	tenure, err := c.tenureOf(now, key)
-	if err != nil || !c.mayAct(now) {
-		return
-	}
-	thing := rateThing(key)
-	cession, ok := c.placer.Cede(now, thing, c.grantLife(), func(host string) (flow.Time, uint64, bool) {
-		return c.prover.PeerClock(now, host)
-	})
-	if !ok {
-		return
-	}
-	host, ok := c.index.Host(cession.ToHost)
-	if !ok {
-		return
-	}
-	state := c.granter.Cede(now, key, tenure, cession.Version.Revision)
-	request := CedeRequest{Cession: cession, State: state}
-	c.start(heartbeatTimeout, func(ctx context.Context) {
-		var answer CedeAnswer
-		if err := c.Dialer.Call(ctx, host.PeerAddress, messenger.CallCede, request, &answer); err != nil {
-			c.Log.Error(err, "cession was not answered", "step", "cede", "peer", host.Name, "thing", thing)
-		}
-	})
-}
-
-// CedeRequest hands over one share of a rate.
-type CedeRequest struct {
-	Cession placer.Cession `msgpack:"c"`
-	State   granter.State  `msgpack:"s"`
-}
-
-// CedeAnswer says what became of a cession.
-type CedeAnswer struct {
-	Acceptance placer.Acceptance `msgpack:"a"`
-}
-
-func (c *Controller) answerCede(ctx context.Context, request any) (any, error) {
-	var asked CedeRequest
-	if err := request.(listener.Request).Decode(&asked); err != nil {
-		return nil, err
-	}
-	var answer CedeAnswer
-	return &answer, c.answerOn(ctx, func() error {
-		answer.Acceptance = c.adopt(c.Clock.Now(), asked)
-		return nil
-	})
-}
-
-// adopt takes over a share that its owner ceded.
-func (c *Controller) adopt(now flow.Time, asked CedeRequest) placer.Acceptance {
-	key := granter.Key{Customer: asked.State.Customer, Share: asked.State.Share, Shares: asked.State.Shares}
-	cut, ok := CutOf(c.index, c.Settings, key.Customer)
-	if !ok || rateThing(key) != asked.Cession.Thing || cut.Shares != key.Shares || c.stopping {
-		return placer.CessionRefused
-	}
-	acceptance := c.placer.Accept(now, asked.Cession)
-	if acceptance != placer.CessionAccepted {
-		return acceptance
-	}
-	limit := granter.ShareLimit(cut.Limit, key.Share, key.Shares)
-	c.granter.Drop(key)
-	c.granter.Adopt(now, limit, asked.Cession.Version.Revision, asked.State)
-	return acceptance
-}
-
-// -----------------------------------------------------------------------------
-
-// ClaimRequest asks for a share back that a predecessor of the asker's process
-// may have ceded.
-type ClaimRequest struct {
-	Claim placer.Claim `msgpack:"c"`
-	Key   granter.Key  `msgpack:"k"`
-}
-
-// ClaimAnswer answers a ClaimRequest.
-type ClaimAnswer struct {
-	Answer placer.ClaimAnswer `msgpack:"a"`
-	State  *granter.State     `msgpack:"s,omitempty"` // of the share when it is handed back
-}
-
-// claim asks the hosts back that may hold a share by a cession of this
-// process's predecessor.
-func (c *Controller) claim(now flow.Time, key granter.Key) {
-	thing := rateThing(key)
-	for _, name := range c.placer.Claims(now, thing, c.grantLife()) {
-		host, ok := c.index.Host(name)
-		if !ok || c.claiming[thing] {
-			continue
-		}
-		c.claiming[thing] = true
-		c.sendClaim(now, host, ClaimRequest{Claim: c.placer.Claim(thing), Key: key})
-	}
-}
-
-func (c *Controller) sendClaim(sentAt flow.Time, host *flow.Host, request ClaimRequest) {
-	c.start(heartbeatTimeout, func(ctx context.Context) {
-		var answer ClaimAnswer
-		err := c.Dialer.Call(ctx, host.PeerAddress, messenger.CallClaim, request, &answer)
-		if err != nil {
-			c.Log.V(1).Info("claim was not answered", "step", "claim", "peer", host.Name, "cause", err.Error())
-		}
-		c.post(c.ctx, func() {
-			delete(c.claiming, request.Claim.Thing)
-			if err == nil {
-				c.observeClaim(sentAt, host.Name, request, answer)
-			}
-		})
-	})
-}
-
-// observeClaim takes the answer to a claim, and takes the share back if it was
-// held.
-func (c *Controller) observeClaim(sentAt flow.Time, host string, request ClaimRequest, answer ClaimAnswer) {
-	now := c.Clock.Now()
-	back := c.placer.ObserveClaim(now, sentAt, host, request.Claim.Thing, answer.Answer)
-	cut, ok := CutOf(c.index, c.Settings, request.Key.Customer)
-	if !back || answer.State == nil || !ok || cut.Shares != request.Key.Shares {
-		return
-	}
-	limit := granter.ShareLimit(cut.Limit, request.Key.Share, request.Key.Shares)
-	c.granter.Drop(request.Key)
-	c.granter.Adopt(now, limit, answer.State.Revision, *answer.State)
-}
-
-func (c *Controller) answerClaim(ctx context.Context, request any) (any, error) {
-	var asked ClaimRequest
-	if err := request.(listener.Request).Decode(&asked); err != nil {
-		return nil, err
-	}
-	var answer ClaimAnswer
-	return &answer, c.answerOn(ctx, func() error {
-		answer = c.handBack(c.Clock.Now(), asked)
-		return nil
-	})
-}
-
-// handBack answers a claim, giving up the share if it is held by a cession.
-func (c *Controller) handBack(now flow.Time, asked ClaimRequest) ClaimAnswer {
-	if rateThing(asked.Key) != asked.Claim.Thing {
-		return ClaimAnswer{Answer: placer.ClaimAnswer{Wait: true}}
-	}
-	tenure, err := c.tenureOf(now, asked.Key)
-	answer := ClaimAnswer{Answer: c.placer.AnswerClaim(now, asked.Claim, c.grantLife(), 0, 0)}
-	if answer.Answer.Held && err == nil {
-		state := c.granter.Cede(now, asked.Key, tenure, 0)
-		answer.State = &state
-	}
-	return answer
-}
--- a/internal/process/placer/cession.go
+++ b/internal/process/placer/cession.go
@@ -56,13 +56,10 @@
 // clock; the thing then moves with the list.
 func (p *Placer) Cede(now flow.Time, thing string, grant time.Duration, clockOf func(host string) (flow.Time, uint64, bool)) (Cession, bool) {
 	newest := p.widelyKnown(now)
-	if newest < 0 || !p.holdsIn(now, thing, grant, newest) {
+	if _, held := p.Cedable(now, thing, grant); !held {
 		return Cession{}, false
 	}
 	_, second := p.entries[newest].ranking.FirstTwo(thing)
-	if second == "" || !p.newerGive(newest, thing, p.settings.Host, second) {
-		return Cession{}, false
-	}
 	peerNow, incarnation, known := clockOf(second)
 	if !known {
 		return Cession{}, false
@@ -91,18 +88,24 @@
 	return -1
 }
 
-// holdsIn reports whether this host held the thing in its own right if
-// entries[newest] were the newest version.
-func (p *Placer) holdsIn(now flow.Time, thing string, grant time.Duration, newest int) bool {
-	if _, ceded := p.ceded[thing]; ceded {
-		return false
+// Cedable returns the tenure that Cede would hand on. When a newer list gives
+// the thing to the second host, Holds is false already and Cedable is still
+// true.
+func (p *Placer) Cedable(now flow.Time, thing string, grant time.Duration) (Tenure, bool) {
+	newest := p.widelyKnown(now)
+	if _, ceded := p.ceded[thing]; ceded || newest < 0 {
+		return Tenure{}, false
 	}
 	placed := p.placementUpTo(thing, newest)
 	if !placed.owned || !placed.settled || now < placed.since.Add(grant+p.settings.Margin) {
-		return false
+		return Tenure{}, false
+	}
+	clearedAt, cleared := p.clearedAt(now, thing, grant)
+	_, second := p.entries[newest].ranking.FirstTwo(thing)
+	if !cleared || second == "" || !p.newerGive(newest, thing, p.settings.Host, second) {
+		return Tenure{}, false
 	}
-	_, cleared := p.clearedAt(now, thing, grant)
-	return cleared
+	return Tenure{Since: max(placed.since, clearedAt)}, true
 }
 
 // newerGive reports whether every version after the given one gives the thing
--- a/internal/process/prover/doc.go
+++ b/internal/process/prover/doc.go
@@ -78,4 +78,9 @@
 // settle quorum of every list in force is without memory at once: has lost it,
 // or never had it, and has not yet held the lease. It needs clocks that run at
 // the same rate, and that go on while the process is paused.
+//
+// A version of the list takes effect only when a settle quorum has the same
+// view for a moment. Lists that follow each other faster than views spread
+// pile up as pending; once most hosts of the last active version are gone, the
+// region has lost its memory and starts like a new one.
 package prover
--- a/internal/process/prover/prover.go
+++ b/internal/process/prover/prover.go
@@ -23,8 +23,9 @@
 const historyLength = 8
 
 // learnedLength is the number of fetched versions kept until an answer that
-// names them comes.
-const learnedLength = 2 * historyLength
+// names them comes. It bounds how many versions a process can have missed that
+// never took effect.
+const learnedLength = 1024
 
 // Settings are the settings of a Prover.
 type Settings struct {
--- a/internal/process/prover/view.go
+++ b/internal/process/prover/view.go
@@ -104,6 +104,7 @@
 			changed = true
 		}
 	}
+	p.learned = slices.DeleteFunc(p.learned, func(l MemberList) bool { return p.indexOf(l.ID()) >= 0 })
 	if changed {
 		p.reindex()
 	}
--- a/pkg/flow/clock.go
+++ b/pkg/flow/clock.go
@@ -18,9 +18,15 @@
 	return t + Time(d.Milliseconds())
 }
 
-// Sub returns the span from u to t.
+// longestSpan is the longest span between two times that a Duration can hold,
+// in milliseconds.
+const longestSpan = Time(1<<63-1) / Time(time.Millisecond)
+
+// Sub returns the span from u to t, or the longest Duration of its sign when the
+// span is longer than that, as it is from Never.
 func (t Time) Sub(u Time) time.Duration {
-	return time.Duration(t-u) * time.Millisecond
+	span := min(max(t-u, -longestSpan), longestSpan)
+	return time.Duration(span) * time.Millisecond
 }
 
 // Before reports whether t is earlier than u.
--- a/pkg/flow/clock_test.go
+++ b/pkg/flow/clock_test.go
@@ -27,6 +27,13 @@
 	}
 }
 
+func TestSpanFromNeverIsLong(t *testing.T) {
+	is := is.New(t)
+	is.True(flow.Time(0).Sub(flow.Never) > 24*365*time.Hour)
+	is.True(flow.Never.Sub(0) < -24*365*time.Hour)
+	is.Equal(flow.Time(15).Sub(10), 5*time.Millisecond)
+}
+
 func TestEveryReasonHasOneCompleteRow(t *testing.T) {
 	seen := map[flow.Reason]bool{}
 	for _, row := range flow.ReasonRows() {
