--- a/cmd/coltsfootflow/daemon.go
+++ b/cmd/coltsfootflow/daemon.go
@@ -90,6 +90,13 @@
 func badInput(faults []error) error {
 	return &commander.UsageError{
 		Problem: errors.Join(faults...).Error(),
-		Advice:  fmt.Sprintf("mend the %d faults above", len(faults)),
+		Advice:  adviceOn(len(faults)),
 	}
 }
+
+func adviceOn(faults int) string {
+	if faults == 1 {
+		return "mend it and check again"
+	}
+	return fmt.Sprintf("mend the %d faults and check again", faults)
+}
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -19,6 +19,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/throttler"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -29,6 +30,8 @@
 	connectionsLimit = 6000
 )
 
+var errTooMany = errors.New("too many control connections are open")
+
 // Request is what an endpoint receives: the peer and a decoder of the body.
 type Request struct {
 	Peer   framer.Identity
@@ -41,7 +44,8 @@
 	Endpoints map[messenger.Call]endpoint.Endpoint // each takes a Request
 	Log       logr.Logger
 
-	open sync.WaitGroup
+	open     sync.WaitGroup
+	failures throttler.Throttler
 }
 
 // Serve accepts connections until ctx ends, and returns when all are closed.
@@ -74,7 +78,7 @@
 				l.serveConn(ctx, conn)
 			})
 		default:
-			l.Log.Info("too many control connections", "step", "accept-control", "peer", conn.RemoteAddr().String(), "limit", connectionsLimit)
+			l.logFailure(errTooMany, "accept-control", conn.RemoteAddr().String())
 			_ = conn.Close()
 		}
 	}
@@ -87,7 +91,7 @@
 	conn, err := framer.Server(raw, l.Options)
 	if err != nil {
 		if ctx.Err() == nil {
-			l.Log.Error(err, "control connection refused", "step", "handshake", "peer", raw.RemoteAddr().String())
+			l.logFailure(err, "handshake", raw.RemoteAddr().String())
 		}
 		return
 	}
@@ -150,5 +154,13 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return
 	}
-	l.Log.Error(err, "control connection closed", "step", "serve-control", "peer", conn.Peer().Host)
+	l.logFailure(err, "serve-control", conn.Peer().Host)
+}
+
+// logFailure logs why a connection was refused or closed, unless many were of
+// late.
+func (l *Listener) logFailure(err error, step, peer string) {
+	if passed, ok := l.failures.Allow(time.Now()); ok {
+		l.Log.Error(err, "control connection closed", "step", step, "peer", peer, "passed-over", passed)
+	}
 }
--- a/internal/process/controller/cessions.go
+++ b/internal/process/controller/cessions.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/deduplicator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/placer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -28,24 +29,46 @@
 
 // cedeAll hands what this host owns to the hosts that come next.
 func (c *Controller) cedeAll(now flow.Time) {
-	for _, key := range c.granter.Keys() {
-		c.cede(now, key)
-	}
+	c.cedeIf(now, func(string) bool { return true })
 }
 
 // cedeMoved hands on what the newest member list gives to another host.
 func (c *Controller) cedeMoved(now flow.Time) {
+	c.cedeIf(now, func(thing string) bool {
+		owner, _ := c.placer.Owner(thing)
+		return owner != c.Settings.Host
+	})
+}
+
+// cedeIf hands on the shares of rates in use, and the shards of the memory of
+// idempotency keys, for which wanted is true.
+func (c *Controller) cedeIf(now flow.Time, wanted func(thing string) bool) {
 	for _, key := range c.granter.Keys() {
-		if owner, _ := c.placer.Owner(rateThing(key)); owner != c.Settings.Host {
-			c.cede(now, key)
+		if wanted(rateThing(key)) {
+			c.cedeShare(now, key)
+		}
+	}
+	for shard := range memoryShards {
+		if thing := memoryThing(shard); wanted(thing) {
+			c.cedeMemory(now, thing)
 		}
 	}
 }
 
-// CedeRequest hands over one share of a rate.
+// memoryBytesCeded bounds the answers that go along with one shard of the
+// memory, in bytes.
+const memoryBytesCeded = 1 << 20
+
+// Handed is what goes along with a cession or comes back with a claim.
+type Handed struct {
+	Share  *granter.State      `msgpack:"s,omitempty"` // of a share of a rate
+	Memory *deduplicator.State `msgpack:"m,omitempty"` // of a shard of the memory of idempotency keys
+}
+
+// CedeRequest hands over one thing.
 type CedeRequest struct {
 	Cession placer.Cession `msgpack:"c"`
-	State   granter.State  `msgpack:"s"`
+	Handed  Handed         `msgpack:"h"`
 }
 
 // CedeAnswer says what became of a cession.
@@ -53,30 +76,63 @@
 	Acceptance placer.Acceptance `msgpack:"a"`
 }
 
-// cede hands one share to the host that comes next, if that is possible. The
-// cession is sent once; when it is lost, the share moves with the list.
-func (c *Controller) cede(now flow.Time, key granter.Key) {
+// cedeShare hands on one share of a rate.
+func (c *Controller) cedeShare(now flow.Time, key granter.Key) {
 	thing := rateThing(key)
-	held, ok := c.placer.Cedable(now, thing, c.grantLife())
-	if !ok || !c.mayAct(now) {
+	held, ok := c.placer.Cedable(now, thing, c.grantOf(thing))
+	if !ok {
 		return
 	}
 	tenure, err := c.withLimit(now, key, held)
 	if err != nil {
 		return
 	}
-	cession, ok := c.placer.Cede(now, thing, c.grantLife(), func(host string) (flow.Time, uint64, bool) {
-		return c.prover.PeerClock(now, host)
+	c.cede(now, thing, func(cession placer.Cession) Handed {
+		state := c.granter.Cede(now, key, tenure, cession.Version.Revision)
+		return Handed{Share: &state}
 	})
+}
+
+// cedeMemory hands on one shard of the memory of idempotency keys.
+func (c *Controller) cedeMemory(now flow.Time, thing string) {
+	tenure, ok := c.placer.Cedable(now, thing, c.grantOf(thing))
 	if !ok {
 		return
 	}
-	host, ok := c.index.Host(cession.ToHost)
+	since, carried := c.carried[thing]
+	if !carried {
+		since = time.Now().Add(-now.Sub(tenure.Since)).UnixMilli()
+	}
+	c.cede(now, thing, func(placer.Cession) Handed { return c.takeMemory(thing, since) })
+}
+
+// takeMemory takes a shard out of the memory.
+func (c *Controller) takeMemory(thing string, since int64) Handed {
+	state := c.memory.Cede(func(customer string, key deduplicator.Key) bool {
+		return idempotencyThing(customer, key) == thing
+	}, memoryBytesCeded)
+	state.Since = since
+	delete(c.carried, thing)
+	return Handed{Memory: &state}
+}
+
+// cede hands a thing to the host that comes next, if that is possible, with what
+// take returns of it. The cession is sent once; when it is lost, the thing moves
+// with the list.
+func (c *Controller) cede(now flow.Time, thing string, take func(placer.Cession) Handed) {
+	if !c.mayAct(now) {
+		return
+	}
+	cession, ok := c.placer.Cede(now, thing, c.grantOf(thing), func(host string) (flow.Time, uint64, bool) {
+		return c.prover.PeerClock(now, host)
+	})
 	if !ok {
 		return
 	}
-	state := c.granter.Cede(now, key, tenure, cession.Version.Revision)
-	c.sendCession(host, CedeRequest{Cession: cession, State: state})
+	request := CedeRequest{Cession: cession, Handed: take(cession)}
+	if host, ok := c.index.Host(cession.ToHost); ok {
+		c.sendCession(host, request)
+	}
 }
 
 func (c *Controller) sendCession(host *flow.Host, request CedeRequest) {
@@ -100,23 +156,49 @@
 	})
 }
 
-// adopt takes over a share that its owner ceded.
+// adopt takes over a thing that its owner ceded.
 func (c *Controller) adopt(now flow.Time, asked CedeRequest) placer.Acceptance {
-	key := granter.Key{Customer: asked.State.Customer, Share: asked.State.Share, Shares: asked.State.Shares}
-	cut, ok := CutOf(c.index, c.Settings, key.Customer)
-	if !ok || rateThing(key) != asked.Cession.Thing || cut.Shares != key.Shares || c.stopping {
+	if c.stopping || !c.fits(asked.Cession.Thing, asked.Handed) {
 		return placer.CessionRefused
 	}
 	acceptance := c.placer.Accept(now, asked.Cession)
-	if acceptance != placer.CessionAccepted {
-		return acceptance
+	if acceptance == placer.CessionAccepted {
+		c.take(now, asked.Cession.Thing, asked.Handed, asked.Cession.Version.Revision)
 	}
-	limit := granter.ShareLimit(cut.Limit, key.Share, key.Shares)
-	c.granter.Drop(key)
-	c.granter.Adopt(now, limit, asked.Cession.Version.Revision, asked.State)
 	return acceptance
 }
 
+// fits reports whether what was handed over belongs to the thing, and to the
+// cut in force here when it is a share of a rate.
+func (c *Controller) fits(thing string, handed Handed) bool {
+	if handed.Share == nil {
+		return handed.Memory != nil && strings.HasPrefix(thing, memoryPrefix)
+	}
+	key := keyOf(handed.Share)
+	cut, ok := CutOf(c.index, c.Settings, key.Customer)
+	return ok && rateThing(key) == thing && cut.Shares == key.Shares && key.Share < cut.Shares
+}
+
+func keyOf(state *granter.State) granter.Key {
+	return granter.Key{Customer: state.Customer, Share: state.Share, Shares: state.Shares}
+}
+
+// take goes on with what was handed over.
+func (c *Controller) take(now flow.Time, thing string, handed Handed, revision flow.Revision) {
+	if handed.Memory != nil {
+		c.memory.Adopt(*handed.Memory)
+		c.carried[thing] = handed.Memory.Since
+		return
+	}
+	key := keyOf(handed.Share)
+	cut, ok := CutOf(c.index, c.Settings, key.Customer)
+	if !ok {
+		return
+	}
+	c.granter.Drop(key)
+	c.granter.Adopt(now, granter.ShareLimit(cut.Limit, key.Share, key.Shares), revision, *handed.Share)
+}
+
 // -----------------------------------------------------------------------------
 
 // ClaimRequest asks for a thing back that a predecessor of the asker's process
@@ -129,7 +211,7 @@
 // ClaimAnswer answers a ClaimRequest.
 type ClaimAnswer struct {
 	Answer placer.ClaimAnswer `msgpack:"a"`
-	State  *granter.State     `msgpack:"s,omitempty"` // of the share when it is handed back
+	Handed Handed             `msgpack:"h"` // what is handed back, if anything
 }
 
 // claim asks the hosts back that may hold a thing by a cession of this
@@ -169,23 +251,21 @@
 	}
 }
 
-// observeClaim takes the answer to a claim, and takes the share back if one was
+// observeClaim takes the answer to a claim, and takes the thing back if it was
 // held.
 func (c *Controller) observeClaim(sentAt flow.Time, host string, request ClaimRequest, answer ClaimAnswer) {
 	now := c.Clock.Now()
-	back := c.placer.ObserveClaim(now, sentAt, host, request.Claim.Thing, answer.Answer)
-	if !back || answer.State == nil || request.Share == nil {
-		return
-	}
-	cut, ok := CutOf(c.index, c.Settings, request.Share.Customer)
-	if !ok || cut.Shares != request.Share.Shares {
-		return
+	thing := request.Claim.Thing
+	back := c.placer.ObserveClaim(now, sentAt, host, thing, answer.Answer)
+	if back && c.fits(thing, answer.Handed) {
+		c.take(now, thing, answer.Handed, handedBackRevision)
 	}
-	limit := granter.ShareLimit(cut.Limit, request.Share.Share, request.Share.Shares)
-	c.granter.Drop(*request.Share)
-	c.granter.Adopt(now, limit, answer.State.Revision, *answer.State)
 }
 
+// handedBackRevision marks the state of a share that comes back with a claim,
+// not with a version of the list.
+const handedBackRevision = 0
+
 func (c *Controller) answerClaim(ctx context.Context, request any) (any, error) {
 	var asked ClaimRequest
 	if err := request.(listener.Request).Decode(&asked); err != nil {
@@ -206,12 +286,31 @@
 	}
 	held, holds := c.placer.Holds(now, thing, c.grantOf(thing))
 	answer := ClaimAnswer{Answer: c.placer.AnswerClaim(now, asked.Claim, c.grantOf(thing), 0, 0)}
-	if !answer.Answer.Held || !holds || asked.Share == nil {
+	if !answer.Answer.Held || !holds {
 		return answer
 	}
-	if tenure, err := c.withLimit(now, *asked.Share, held); err == nil {
-		state := c.granter.Cede(now, *asked.Share, tenure, 0)
-		answer.State = &state
+	if since, carried := c.carried[thing]; carried {
+		answer.Handed = c.takeMemory(thing, since)
+	}
+	if asked.Share != nil {
+		if tenure, err := c.withLimit(now, *asked.Share, held); err == nil {
+			state := c.granter.Cede(now, *asked.Share, tenure, handedBackRevision)
+			answer.Handed.Share = &state
+		}
 	}
 	return answer
 }
+
+// claimAhead claims the shards of the memory that only wait for a claim, before
+// anybody asks for them. Everything else is claimed when it is asked for.
+func (c *Controller) claimAhead(now flow.Time) {
+	if !c.mayAct(now) {
+		return
+	}
+	for shard := range memoryShards {
+		thing := memoryThing(shard)
+		if _, held := c.placer.Holds(now, thing, c.grantOf(thing)); !held {
+			c.claim(now, thing, nil)
+		}
+	}
+}
--- a/internal/process/controller/configuration.go
+++ b/internal/process/controller/configuration.go
@@ -101,8 +101,7 @@
 			}
 			c.mergePage(after, page)
 			if page.More {
-				c.reading = true
-				c.readOnce()
+				c.duty.PageFollows(c.Clock.Now())
 			}
 		})
 	})
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -68,6 +68,7 @@
 	granter  *granter.Granter
 	ejectors map[string]*ejectorOf
 	memory   *deduplicator.Memory
+	carried  map[string]int64 // TenureSince of the shards of the memory that were handed over here
 	duty     *reader.Duty
 
 	baseline flow.Revision            // the first revision that was applied
@@ -132,6 +133,7 @@
 			Retention:   placer.DefaultRetention,
 		}),
 		memory:    newMemory(settings),
+		carried:   map[string]int64{},
 		granter:   granter.New(granterSettings(settings)),
 		ejectors:  map[string]*ejectorOf{},
 		duty:      reader.NewDuty(settings.Reading.ReadersPerZone, settings.Reading.PlatformCallsPerSecond, parts.Random),
@@ -256,6 +258,8 @@
 	c.sweepAt = now.Add(sweepInterval)
 	c.granter.Sweep(now)
 	c.forgetCuts(now)
+	c.forgetCarried(now)
+	c.claimAhead(now)
 	c.Dialer.Sweep()
 	c.forgetAddresses()
 	c.Timekeeper.Retain(func(host string) bool {
--- a/internal/process/controller/heartbeat.go
+++ b/internal/process/controller/heartbeat.go
@@ -182,7 +182,6 @@
 	return &answer, c.answerOn(ctx, func() error {
 		now := c.Clock.Now()
 		answer.Proof = c.prover.Answer(now, asked.Proof)
-		c.merger.Heard(asked.Proof.Highest)
 		if asked.Delta.From < c.merger.Applied() || asked.Delta.Full {
 			delta := c.merger.Delta(asked.Delta, deltaLimit)
 			answer.Delta = &delta
--- a/internal/process/controller/idempotency.go
+++ b/internal/process/controller/idempotency.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
@@ -46,9 +46,15 @@
 	digest := fnv.New32a()
 	_, _ = digest.Write([]byte(customer))
 	_, _ = digest.Write(key[:])
-	return fmt.Sprintf("idempotency/%d", digest.Sum32()%memoryShards)
+	return memoryThing(int(digest.Sum32() % memoryShards))
 }
 
+// memoryPrefix begins the names of the shards of the memory.
+const memoryPrefix = "idempotency/"
+
+// memoryThing names a shard of the memory.
+func memoryThing(shard int) string { return memoryPrefix + strconv.Itoa(shard) }
+
 // BeginRequest asks whether a request with an idempotency key may run.
 type BeginRequest struct {
 	Customer string              `msgpack:"c"`
@@ -115,20 +121,43 @@
 		return deduplicator.Reply{}, errNoLease
 	}
 	thing := idempotencyThing(asked.Customer, asked.Key)
-	tenure, held := c.placer.Holds(now, thing, c.grantOf(thing))
-	if !held || tenure.Ceded {
+	since, held := c.memorySince(now, wall, thing)
+	if !held {
 		c.claim(now, thing, nil)
 		return deduplicator.Reply{}, errNotOwner
 	}
 	return c.memory.Begin(now, deduplicator.Begin{
 		WallMillis:  wall.UnixMilli(),
-		TenureSince: wall.Add(-now.Sub(tenure.Since)).UnixMilli(),
+		TenureSince: since,
 		Customer:    asked.Customer,
 		Key:         asked.Key,
 		Digest:      asked.Digest,
 	}), nil
 }
 
+// memorySince returns since when the keys of a shard are remembered here, in
+// milliseconds of the wall clock since 1970: from the start of the tenure, or
+// longer when the memory was handed over.
+func (c *Controller) memorySince(now flow.Time, wall time.Time, thing string) (int64, bool) {
+	tenure, held := c.placer.Holds(now, thing, c.grantOf(thing))
+	if !held {
+		return 0, false
+	}
+	if since, carried := c.carried[thing]; carried {
+		return since, true
+	}
+	return wall.Add(-now.Sub(tenure.Since)).UnixMilli(), !tenure.Ceded
+}
+
+// forgetCarried forgets hand-overs of shards that are not held any more.
+func (c *Controller) forgetCarried(now flow.Time) {
+	for thing := range c.carried {
+		if _, held := c.placer.Holds(now, thing, c.grantOf(thing)); !held {
+			delete(c.carried, thing)
+		}
+	}
+}
+
 func (c *Controller) answerEnd(ctx context.Context, request any) (any, error) {
 	var asked EndRequest
 	if err := request.(listener.Request).Decode(&asked); err != nil {
@@ -136,6 +165,10 @@
 	}
 	return &EndAnswer{}, c.answerOn(ctx, func() error {
 		now := c.Clock.Now()
+		thing := idempotencyThing(asked.Customer, asked.Key)
+		if _, held := c.placer.Holds(now, thing, c.grantOf(thing)); !held {
+			return errNotOwner
+		}
 		if asked.Abandoned {
 			c.memory.Abandon(now, asked.Customer, asked.Key, asked.Run)
 			return nil
--- a/internal/process/deduplicator/memory_test.go
+++ b/internal/process/deduplicator/memory_test.go
@@ -161,10 +161,10 @@
 
 // -----------------------------------------------------------------------------
 
-// TestAtMostOnce sends keys again and again, through changes of owner, late and
-// repeated news of runs, leaps of the owner's wall clock, makers' clocks of any
-// error and a small memory. No key may run twice unless the run before was
-// abandoned.
+// TestAtMostOnce sends keys again and again, through changes of owner with and
+// without hand-over, late and repeated news of runs, leaps of the owner's wall
+// clock, makers' clocks of any error and a small memory. No key may run twice
+// unless the run before was abandoned.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		options := deduplicator.Options{
@@ -186,7 +186,7 @@
 		for step := range rapid.IntRange(1, 150).Draw(rt, "steps") {
 			now += flow.Time(rapid.IntRange(0, 2000).Draw(rt, "gap"))
 			owner := wall + int64(now) + offset
-			switch event := rapid.IntRange(0, 12).Draw(rt, "event"); {
+			switch event := rapid.IntRange(0, 13).Draw(rt, "event"); {
 			case event == 0 && leaps:
 				offset = int64(rapid.IntRange(-60_000, 60_000).Draw(rt, "offset"))
 			case event == 0:
@@ -196,6 +196,13 @@
 				for _, k := range keys {
 					k.runs = nil // news of earlier runs goes to the owner before
 				}
+			case event == 13: // handed over to the next owner
+				if !leaps {
+					offset = int64(rapid.IntRange(-250, 250).Draw(rt, "offset"))
+				}
+				state := memory.Cede(func(string, deduplicator.Key) bool { return true }, 1<<20)
+				memory = deduplicator.New(options)
+				memory.Adopt(state)
 			case event <= 4:
 				ahead := int64(rapid.IntRange(-30_000, 30_000).Draw(rt, "maker's clock is ahead"))
 				customer := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "customer")
--- a/internal/process/drawer/settings.go
+++ b/internal/process/drawer/settings.go
@@ -25,7 +25,7 @@
 	return Settings{
 		Horizon:     100 * time.Millisecond,
 		Averaging:   200 * time.Millisecond,
-		WaitLimit:   50 * time.Millisecond,
+		WaitLimit:   250 * time.Millisecond,
 		DryWait:     30 * time.Millisecond,
 		MaxWaiting:  1024,
 		DryLimit:    250 * time.Millisecond,
--- a/internal/process/placer/claim.go
+++ b/internal/process/placer/claim.go
@@ -40,11 +40,17 @@
 // -----------------------------------------------------------------------------
 
 // Claims returns the hosts to which a claim for the thing must be sent now,
-// before this process can hold it.
+// before this process can hold it. There are none while it could not hold the
+// thing for another reason: a claim ends the cession under which the thing is
+// served meanwhile.
 func (p *Placer) Claims(now flow.Time, thing string, grant time.Duration) []string {
 	if now < p.claimsFrom() || p.claimsOver(now, grant) {
 		return nil
 	}
+	placed := p.placementOf(thing)
+	if !placed.owned || !placed.settled || now < placed.since.Add(grant+p.settings.Margin) {
+		return nil
+	}
 	var hosts []string
 	for i := range p.entries {
 		second, needed := p.claimNeeded(now, i, thing, grant)
--- a/internal/process/prover/doc.go
+++ b/internal/process/prover/doc.go
@@ -12,8 +12,8 @@
 // alive, and knew what it knew, not before that time. Ages are rounded up, and
 // add up over several hops. A message in one direction proves nothing.
 //
-// Every message carries the highest revision that its sender has heard of. So
-// whoever gets a proof of a host, however indirect, also hears of every
+// Every answer carries the highest revision that its sender has heard of in
+// answers or from the platform. So whoever gets a proof of a host, however indirect, also hears of every
 // revision that the host had heard of at that proof.
 //
 // # Acting and settling
--- a/internal/process/prover/heartbeat.go
+++ b/internal/process/prover/heartbeat.go
@@ -41,9 +41,10 @@
 	}
 }
 
-// Answer returns the answer to a request.
+// Answer returns the answer to a request. What the request says of revisions
+// changes nothing: a message in one direction proves nothing, and a process that
+// stopped acting upon it would pause at every change until it had asked back.
 func (p *Prover) Answer(now flow.Time, request Request) Answer {
-	p.highest = max(p.highest, request.Highest)
 	if request.Leaving {
 		p.peerOf(request.From).observeLeaving(request.Incarnation)
 	}
--- a/internal/process/reader/duty.go
+++ b/internal/process/reader/duty.go
@@ -18,6 +18,8 @@
 	// startBurst is how many times its budget of calls the fleet may use for a
 	// moment when nobody knows any list of hosts.
 	startBurst = 10
+	// eagerShare is of how many daemons one reads page after page at once.
+	eagerShare = 100
 	// patience is how long a daemon without a lease waits for its peers before
 	// it reads from the platform itself.
 	patience = 5 * time.Second
@@ -38,6 +40,7 @@
 	readers        int
 	callsPerSecond int
 	random         *rand.Rand
+	eager          bool
 	lonelyAt       flow.Time // when to read without being on duty; flow.Never when not planned
 }
 
@@ -49,6 +52,7 @@
 		readers:        readersPerZone,
 		callsPerSecond: callsPerSecond,
 		random:         random,
+		eager:          random.IntN(eagerShare) == 0,
 		lonelyAt:       flow.Never,
 	}
 }
@@ -89,6 +93,17 @@
 	return true
 }
 
+// PageFollows plans the next read after a page that others follow. Few daemons
+// of a large fleet read on at once; the rest leave their peers time to get ahead
+// of them.
+func (d *Duty) PageFollows(now flow.Time) {
+	if d.eager {
+		d.lonelyAt = now
+		return
+	}
+	d.lonelyAt = now.Add(d.upTo(d.startWindow()))
+}
+
 // delay is the wait before a read that nobody else seems to make. Random parts
 // keep a fleet of daemons, all reading alone, below the budget of calls.
 func (d *Duty) delay(fleet int) time.Duration {
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -16,7 +16,9 @@
 	sampleSize = 256
 	// sampleDecay weighs recent values: the last five minutes count most.
 	sampleDecay = 0.015
-	// others stands for the customers beyond the limit.
+	// routesLimit is the number of routes with metrics of their own.
+	routesLimit = 500
+	// others stands for the customers and routes beyond their limits.
 	others = "others"
 	// nobody stands for requests on open routes and of unknown customers.
 	nobody = "none"
@@ -27,16 +29,18 @@
 // Metrics counts and times requests. It is safe for use by many goroutines.
 type Metrics struct {
 	Registry  metrics.Registry
-	customers int // most customers with metrics of their own
-
-	mu    sync.RWMutex
-	known map[string]bool
+	customers *names
+	routes    *names
 }
 
 // NewMetrics returns Metrics that give at most so many customers metrics of
 // their own.
 func NewMetrics(customers int) *Metrics {
-	return &Metrics{Registry: metrics.NewRegistry(), customers: customers, known: map[string]bool{}}
+	return &Metrics{
+		Registry:  metrics.NewRegistry(),
+		customers: newNames(customers),
+		routes:    newNames(routesLimit),
+	}
 }
 
 // Served takes the end of a caller's request.
@@ -45,11 +49,11 @@
 	if reason != "" {
 		outcome = string(reason)
 	}
-	name := m.customerName(customer)
+	name := m.customers.bounded(customer)
 	m.count("requests", "customer", name, "outcome", outcome)
 	m.time("request-latency-ms", took, "customer", name)
 	if route != "" {
-		m.time("route-latency-ms", took, "route", route)
+		m.time("route-latency-ms", took, "route", m.routes.bounded(route))
 	}
 }
 
@@ -76,29 +80,42 @@
 
 // -----------------------------------------------------------------------------
 
-// customerName returns the customer's name while there is room for another set
-// of metrics.
-func (m *Metrics) customerName(customer string) string {
-	if customer == "" {
+// names are the values of a label that have metrics of their own. They are safe
+// for use by many goroutines.
+type names struct {
+	limit int
+
+	mu    sync.RWMutex
+	known map[string]bool
+}
+
+func newNames(limit int) *names {
+	return &names{limit: limit, known: map[string]bool{}}
+}
+
+// bounded returns a name while there is room for another set of metrics, and
+// others after that.
+func (n *names) bounded(name string) string {
+	if name == "" {
 		return nobody
 	}
-	m.mu.RLock()
-	known := m.known[customer]
-	full := len(m.known) >= m.customers
-	m.mu.RUnlock()
+	n.mu.RLock()
+	known := n.known[name]
+	full := len(n.known) >= n.limit
+	n.mu.RUnlock()
 	switch {
 	case known:
-		return customer
+		return name
 	case full:
 		return others
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.known) >= m.customers {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.known) >= n.limit && !n.known[name] {
 		return others
 	}
-	m.known[customer] = true
-	return customer
+	n.known[name] = true
+	return name
 }
 
 func (m *Metrics) count(name string, labels ...string) {
--- a/internal/process/sender/sender_test.go
+++ b/internal/process/sender/sender_test.go
@@ -129,6 +129,7 @@
 	}
 	await(t, "two at the backend server", func() bool { return b.running.Load() == 2 })
 	time.Sleep(50 * time.Millisecond)
+	is.Equal(b.most.Load(), int64(2))
 	cancel()
 	count := 0
 	for range 8 {
@@ -144,12 +145,54 @@
 		_, err := run(t.Context(), s, b.address, patient)
 		is.NoErr(err)
 	}
-	is.True(b.most.Load() <= 2)
+	is.True(s.Figures().Connections <= 2)
 	s.Close()
 	await(t, "the end of all goroutines", func() bool { return runtime.NumGoroutine() <= before+2 })
 	await(t, "the end of all connections", func() bool { return b.open.Load() == 0 && s.Figures().Connections == 0 })
 }
 
+// A connection that is given up is not replaced before the server can know of
+// its end: to a server at its cap the new one would be one too many.
+func TestConnectionsAreNotReplacedTooSoon(t *testing.T) {
+	is := is.New(t)
+	const notice = 5 * time.Millisecond // that the server takes to notice the end of a connection
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	var open, most, arrived atomic.Int64
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			most.Store(max(most.Load(), open.Add(1)))
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := conn.Read(make([]byte, 4096)); err == nil {
+					arrived.Add(1)
+				}
+				_, _ = io.Copy(io.Discard, conn)
+				time.Sleep(notice)
+				open.Add(-1)
+			}()
+		}
+	}()
+	s := newSender(t, socket.Addr().String(), 1, 1, 0)
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = run(ctx, s, socket.Addr().String(), patient)
+		}()
+		await(t, "one more at the backend server", func() bool { return arrived.Load() == int64(i+1) })
+		cancel()
+		<-ended
+	}
+	is.Equal(most.Load(), int64(1))
+}
+
 // Connections are opened no faster than the server bears.
 func TestConnectionsArePaced(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/acceptor/acceptor.go
+++ b/internal/request/acceptor/acceptor.go
@@ -17,6 +17,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/throttler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/admitter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/holder"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/registrar"
@@ -37,6 +38,9 @@
 	stepAnswer  = flow.Step("pass-answer")
 )
 
+// unknownServer stands in the metrics for requests without a valid permit.
+const unknownServer = "none"
+
 // Observer is told of every forwarded request, for metrics.
 type Observer interface {
 	// Admitted takes the end of a forwarded request: the reason of a refusal, or
@@ -60,6 +64,7 @@
 // Acceptor is the handler of forwarded requests.
 type Acceptor struct {
 	Parts
+	strangers throttler.Throttler
 
 	mu        sync.Mutex
 	registrar *registrar.Registrar
@@ -85,7 +90,10 @@
 	arrived := a.Clock.Now()
 	permit, refusal := a.checkPermit(r)
 	if refusal != nil {
-		a.Log.Info("forwarded request refused", "step", string(refusal.Step), "peer", r.RemoteAddr, "cause", refusal.Detail)
+		a.Observer.Admitted(unknownServer, refusal.Reason, 0)
+		if passed, ok := a.strangers.Allow(time.Now()); ok {
+			a.Log.Info("forwarded request refused", "step", string(refusal.Step), "peer", r.RemoteAddr, "cause", refusal.Detail, "passed-over", passed)
+		}
 		answerer.WriteRefusal(w, "", refusal)
 		return
 	}
--- a/internal/request/acceptor/acceptor_test.go
+++ b/internal/request/acceptor/acceptor_test.go
@@ -28,9 +28,9 @@
 			return w.send(t.Context(), permit)
 		}
 	}
-	values := func(method, target string, make func(w *world, permit permitter.Permit) string) func(*testing.T, *world) outcome {
+	values := func(method, target string, permitOf func(w *world, permit permitter.Permit) string) func(*testing.T, *world) outcome {
 		return func(t *testing.T, w *world) outcome {
-			return w.do(w.requestWith(t.Context(), method, target, make(w, w.permit("a/1")), "a swap"))
+			return w.do(w.requestWith(t.Context(), method, target, permitOf(w, w.permit("a/1")), "a swap"))
 		}
 	}
 	sign := func(w *world, permit permitter.Permit) string {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -125,6 +125,24 @@
 // Forward makes one attempt. The error is a *flow.Refusal; the Load of the
 // Result is set also when the receiver refused.
 func (f *Forwarder) Forward(ctx context.Context, attempt *Attempt) (Result, error) {
+	result, err := f.forward(ctx, attempt)
+	refusal, refused := flow.AsRefusal(err)
+	if refused && refusal.Reason == flow.ReasonPermitInvalid && f.restarted(attempt) {
+		// The permit was for an earlier process of the host; the answer has
+		// brought the clock of the present one.
+		return f.forward(ctx, attempt)
+	}
+	return result, err
+}
+
+// restarted reports whether another process of the target's host is known than
+// that for which the attempt's permit was made.
+func (f *Forwarder) restarted(attempt *Attempt) bool {
+	_, incarnation, known := f.Timekeeper.Translate(f.Clock.Now(), attempt.Target.Name, attempt.Until)
+	return known && incarnation != attempt.Permit.Incarnation
+}
+
+func (f *Forwarder) forward(ctx context.Context, attempt *Attempt) (Result, error) {
 	if refusal := f.address(ctx, attempt); refusal != nil {
 		return Result{}, refusal
 	}
--- a/internal/request/receiver/answers_test.go
+++ b/internal/request/receiver/answers_test.go
@@ -45,11 +45,9 @@
 	return false
 }
 
-func silent(time.Duration) script {
-	return func(conn net.Conn, _ *http.Request) bool {
-		_, _ = conn.Read(make([]byte, 1)) // until the other end gives up
-		return false
-	}
+func silent(conn net.Conn, _ *http.Request) bool {
+	_, _ = conn.Read(make([]byte, 1)) // until the other end gives up
+	return false
 }
 
 const (
@@ -77,7 +75,7 @@
 	"sheds":                    {script: write(shedHead, "\r\n"), outcome: flow.OutcomeNotRun, reason: flow.ReasonServerShed},
 	"sheds another request":    {script: write(shedHead, "Coltsfootflow-Request-Id: another\r\n\r\n"), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerForeign},
 	"fails":                    {script: write("HTTP/1.1 500 Oh\r\nColtsfootflow-Request-Id: ID\r\nContent-Length: 2\r\n\r\nno"), outcome: flow.OutcomeAnswered},
-	"silent":                   {script: silent(0), outcome: flow.OutcomeUnknown, reason: flow.ReasonTimeout},
+	"silent":                   {script: silent, outcome: flow.OutcomeUnknown, reason: flow.ReasonTimeout},
 	"large and short":          {script: write(answerHead, fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(large)), large), broken: true},
 	"large, chunks cut":        {script: write(answerHead, chunked, fmt.Sprintf("%x\r\n%s\r\n", len(large), large)), broken: true},
 	"large, cut in a chunk":    {script: write(answerHead, chunked, fmt.Sprintf("%x\r\n%s", 2*len(large), large)), broken: true},
@@ -177,7 +175,10 @@
 func TestSecondAnswerOnAConnection(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1)
-	w.play(func(conn net.Conn, r *http.Request) bool { return sound(conn, r) && sound(conn, r) })
+	w.play(func(conn net.Conn, r *http.Request) bool {
+		sound(conn, r)
+		return sound(conn, r)
+	})
 	for range 20 {
 		got := w.ask(t, http.MethodPost, "/ledger/swaps", "a swap", withKey())
 		is.NoErr(got.err)
--- a/internal/request/receiver/deduplicate.go
+++ b/internal/request/receiver/deduplicate.go
@@ -79,7 +79,9 @@
 		return replay(reply.Answer), nil
 	}
 	refusal := p.refuse(stepDeduplicate, refusedKeys[reply.Decision], reply.Decision.String())
-	refusal.RetryAfter = retryElsewhere
+	if reply.Decision == deduplicator.DecisionRunning || reply.Decision == deduplicator.DecisionFull {
+		refusal.RetryAfter = retryElsewhere
+	}
 	return nil, refusal
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -255,6 +255,7 @@
 // ask asks one address or, when the caller goes round, one after the other
 // until one gives another answer than that it cannot serve.
 func (s *sender) ask(ctx context.Context, request *request, first int) {
+	request.record.Sent = time.Now().UnixNano()
 	ingresses := s.caller.options.Ingresses
 	for i := range ingresses {
 		index := (first + i) % len(ingresses)
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -48,6 +48,7 @@
 	Path           string        `json:"path"`
 	IdempotencyKey string        `json:"idempotency-key,omitempty"`
 	Intended       int64         `json:"intended"`       // nanoseconds of Unix time at which it was to start
+	Sent           int64         `json:"sent"`           // nanoseconds of Unix time at which it did start
 	LatencyMicros  int64         `json:"latency-micros"` // from the intended start to the end of the answer
 	Ingresses      []string      `json:"ingresses"`      // addresses that were asked, in order
 	Status         int           `json:"status"`         // 0 without an answer
--- a/internal/standin/publisher/publisher.go
+++ b/internal/standin/publisher/publisher.go
@@ -59,7 +59,7 @@
 func New(ctx context.Context, options Options) (*Publisher, error) {
 	p := &Publisher{
 		slowDelay: options.SlowDelay,
-		store:     &store{},
+		store:     newStore(),
 		mode:      ModeNormal,
 		changed:   make(chan struct{}),
 	}
--- a/internal/standin/publisher/store.go
+++ b/internal/standin/publisher/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"sort"
 
@@ -18,24 +19,31 @@
 // store is not safe for use by many goroutines.
 type store struct {
 	revision flow.Revision
-	records  []flow.RawRecord // by growing revision, one for each identity
+	latest   map[flow.RecordID]flow.RawRecord
+	records  []flow.RawRecord // by growing revision; superseded ones among them
 }
 
+func newStore() *store { return &store{latest: map[flow.RecordID]flow.RawRecord{}} }
+
 // put gives a record the next revision in place of its older version.
 func (s *store) put(record flow.RawRecord) {
 	s.revision++
 	record.Revision = s.revision
-	s.records = slices.DeleteFunc(s.records, func(r flow.RawRecord) bool { return r.ID() == record.ID() })
+	s.latest[record.ID()] = record
 	s.records = append(s.records, record)
+	if len(s.records) > 2*len(s.latest) {
+		s.records = slices.DeleteFunc(s.records, s.superseded)
+	}
+}
+
+// superseded reports whether a newer version of the record is held.
+func (s *store) superseded(record flow.RawRecord) bool {
+	return s.latest[record.ID()].Revision != record.Revision
 }
 
 func (s *store) find(id flow.RecordID) (flow.RawRecord, bool) {
-	for _, record := range s.records {
-		if record.ID() == id {
-			return record, true
-		}
-	}
-	return flow.RawRecord{}, false
+	record, ok := s.latest[id]
+	return record, ok
 }
 
 // replace puts the records that differ from what is held and, when complete,
@@ -53,6 +61,9 @@
 		return
 	}
 	for _, held := range slices.Clone(s.records) {
+		if s.superseded(held) {
+			continue
+		}
 		if !given[held.ID()] && !held.Deleted {
 			s.put(flow.RawRecord{Kind: held.Kind, Name: held.Name, Deleted: true})
 		}
@@ -65,6 +76,9 @@
 	page := Page{Revision: s.revision, Records: []flow.RawRecord{}}
 	size := 0
 	for _, record := range s.records[first:] {
+		if s.superseded(record) {
+			continue
+		}
 		size += encodedBytes(record)
 		if len(page.Records) > 0 && size > limitBytes {
 			page.More = true
@@ -78,7 +92,7 @@
 
 // snapshot returns a copy that later changes of s leave alone.
 func (s *store) snapshot() *store {
-	return &store{revision: s.revision, records: slices.Clone(s.records)}
+	return &store{revision: s.revision, latest: maps.Clone(s.latest), records: slices.Clone(s.records)}
 }
 
 // encodedBytes bounds the size of a record in a page, whose bodies are base64.
