--- a/internal/process/runner/server.go
+++ b/internal/process/runner/server.go
@@ -93,6 +93,9 @@
 // ends; then it cuts them.
 func (s *server) shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) { // drain has closed the listener
+		err = nil
+	}
 	if err != nil {
 		_ = s.http.Close()
 	}
--- a/internal/request/receiver/authenticate.go
+++ b/internal/request/receiver/authenticate.go
@@ -22,8 +22,8 @@
 	bearerPrefix     = "bearer "
 	// keyLengthLimit bounds a key in bytes.
 	keyLengthLimit = 512
-	// keyLengthLeast is the length in bytes from which a key is looked for in
-	// other places of a request.
+	// keyLengthLeast is the least length of a key in bytes. A shorter one could
+	// not be told from other words when a request is searched for it.
 	keyLengthLeast = 8
 )
 
@@ -65,6 +65,9 @@
 	if len(keys) > 1 {
 		return p.refuse(stepAuthenticate, flow.ReasonKeyUnknown, "several keys were presented")
 	}
+	if len(keys[0]) < keyLengthLeast {
+		return p.refuse(stepAuthenticate, flow.ReasonKeyUnknown, "the key is too short")
+	}
 	hash := sha256.Sum256([]byte(keys[0]))
 	entry, ok := call.Snapshot.Index.KeyByHash(hash)
 	if !ok {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -43,10 +43,28 @@
 	return m.Run()
 }
 
+// maxFleets bounds the fleets that run at once.
+const maxFleets = 3
+
+// fleets holds an element for each running fleet.
+var fleets = make(chan struct{}, maxFleets)
+
 // startFleet starts a fleet and waits until every daemon serves every customer.
 // The daemons' logs are shown when the test fails.
 func startFleet(t *testing.T, plan launcher.Plan, interrupt bool) *launcher.Fleet {
 	t.Helper()
+	fleet := launchFleet(t, plan, interrupt)
+	awaitFleet(t, fleet)
+	return fleet
+}
+
+// launchFleet starts a fleet without waiting for its daemons to serve. It waits
+// its turn among the fleets that run at once.
+func launchFleet(t *testing.T, plan launcher.Plan, interrupt bool) *launcher.Fleet {
+	t.Helper()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
+	watchStalls(t)
 	var logs bytes.Buffer
 	fleet, err := launcher.Start(t.Context(), launcher.Options{
 		Program:   program,
@@ -64,19 +82,24 @@
 			t.Logf("logs of the daemons:\n%s", tail(logs.Bytes()))
 		}
 	})
+	return fleet
+}
+
+// awaitFleet waits until every daemon of a fleet serves every customer.
+func awaitFleet(t *testing.T, fleet *launcher.Fleet) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
 	if err := fleet.AwaitActing(ctx); err != nil {
 		t.Fatal(err)
 	}
-	for _, customer := range plan.Customers {
-		for _, service := range plan.Services {
+	for _, customer := range fleet.Plan.Customers {
+		for _, service := range fleet.Plan.Services {
 			for _, ingress := range fleet.Ingresses() {
 				awaitServed(ctx, t, ingress, "/"+service.Name+"/warm-up", launcher.KeyOf(customer.Name))
 			}
 		}
 	}
-	return fleet
 }
 
 // tail returns the end of a log.
--- /dev/null
+++ b/test/lease_test.go
@@ -0,0 +1,203 @@
+package test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/standin/caller"
+	"github.com/coltsfootflow/coltsfootflow/internal/standin/launcher"
+	"github.com/coltsfootflow/coltsfootflow/internal/standin/publisher"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+// TestHostCutOffOneWay shows that a host that is cut off in one direction runs
+// nothing after a few seconds and says so, that the others go on, and that it
+// serves again when the network heals.
+func TestHostCutOffOneWay(t *testing.T) {
+	cases := map[string]struct {
+		way      launcher.Way
+		platform publisher.Mode
+	}{
+		"it is not heard":                    {way: launcher.Outward, platform: publisher.ModeNormal},
+		"it hears nothing":                   {way: launcher.Inward, platform: publisher.ModeNormal},
+		"it is not heard, and platform down": {way: launcher.Outward, platform: publisher.ModeDown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fleet := startFleet(t, planWith(5, "shop", "school"), true)
+			publishOpenRoute(t, fleet)
+			cut := fleet.Daemons[1]
+			const length = 11 * time.Second
+			start := time.Now()
+			elsewhere := startLoad(t, caller.Options{
+				Ingresses: addressesOf(fleet, others(fleet, cut)...),
+				Customers: []caller.Customer{traffic("shop", 100, caller.Spread)},
+				Duration:  length,
+			})
+			there := startLoad(t, caller.Options{
+				Ingresses: addressesOf(fleet, cut),
+				Customers: []caller.Customer{traffic("school", 30, caller.Sticky), anyone(30, caller.Sticky)},
+				Duration:  length,
+			})
+			time.Sleep(time.Second)
+			is.NoErr(fleet.Platform.SetMode(tc.platform))
+			cutAt := time.Now()
+			is.NoErr(fleet.CutOff(tc.way, cut))
+			sleepUntil(start.Add(8 * time.Second))
+			healedAt := time.Now()
+			is.NoErr(fleet.Rejoin(cut))
+			recordsThere, recordsElsewhere := waitLoad(t, there), waitLoad(t, elsewhere)
+			due := cutAt.Add(stopsWithin)
+			entries := entriesOn(fleet, cut)
+			checkNoStarts(t, "backend servers of the host", entries, due, healedAt)
+			refused := startedBetween(recordsThere, due, healedAt.Add(-200*time.Millisecond))
+			checkResults(t, "requests to the host", refused, caller.NotRun)
+			for _, r := range refused {
+				if r.Result == caller.NotRun && r.Reason != flow.ReasonNoLease {
+					t.Errorf("refused for another reason: %s", describe(r))
+				}
+			}
+			checkServed(t, "requests to the others", startedBetween(recordsElsewhere, due, healedAt))
+			checkTruth(t, fleet, recordsThere)
+			checkTruth(t, fleet, recordsElsewhere)
+			awaitServedWithin(t, fleet, cut, "shop", stopsWithin)
+			figure(t, "last start on the cut-off host %v after the cut", lastStart(entries, cutAt, healedAt))
+			figure(t, "last answer begun at the cut-off host %v after the cut", lastAnswered(recordsThere, cutAt, healedAt))
+			figure(t, "served again %v after the cut healed", firstAnswered(recordsThere, healedAt))
+			figure(t, "requests to the others in the %v after the cut: %s", stopsWithin, tally(startedBetween(recordsElsewhere, cutAt, due)))
+			figure(t, "requests to the host in the %v after the cut: %s", stopsWithin, tally(startedBetween(recordsThere, cutAt, due)))
+		})
+	}
+}
+
+// lastAnswered returns how long after a time the last request started that was
+// answered and began before an end.
+func lastAnswered(records []caller.Record, from, end time.Time) time.Duration {
+	last := time.Duration(0)
+	for _, r := range startedBetween(records, from, end) {
+		if r.Result == caller.Answered {
+			last = max(last, time.Duration(r.Intended-from.UnixNano()))
+		}
+	}
+	return last
+}
+
+// firstAnswered returns how long after a time the first request started that
+// was answered, or -1.
+func firstAnswered(records []caller.Record, from time.Time) time.Duration {
+	first := time.Duration(-1)
+	for _, r := range startedBetween(records, from, from.Add(time.Hour)) {
+		if since := time.Duration(r.Intended - from.UnixNano()); r.Result == caller.Answered && (first < 0 || since < first) {
+			first = since
+		}
+	}
+	return first
+}
+
+// awaitServedWithin waits until a daemon answers a customer, for so long at
+// most.
+func awaitServedWithin(t *testing.T, fleet *launcher.Fleet, d *launcher.Daemon, customer string, within time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	awaitServed(ctx, t, fleet.CallerAddress(d), "/ledger/again", launcher.KeyOf(customer))
+}
+
+// -----------------------------------------------------------------------------
+
+// TestPausedProcess shows that a process that wakes late runs nothing on what
+// it knew before: a key is withdrawn while it sleeps, and no request with the
+// key runs after it woke, taken by it, forwarded by it, or forwarded to it.
+func TestPausedProcess(t *testing.T) {
+	t.Parallel()
+	gone := []string{"gone-1", "gone-2", "gone-3"} // several, so that each host owns a part of some rate
+	fleet := startFleet(t, planWith(5, append(gone, "shop")...), true)
+	paused := fleet.Daemons[2]
+	options := caller.Options{
+		Ingresses: fleet.Ingresses(),
+		Customers: []caller.Customer{traffic("shop", 60, caller.Spread)},
+		Duration:  11 * time.Second,
+	}
+	var withdrawn []flow.RawRecord
+	for _, name := range gone {
+		options.Customers = append(options.Customers, traffic(name, 40, caller.Spread))
+		withdrawn = append(withdrawn, launcher.KeyRecord(name, true))
+	}
+	load := startLoad(t, options)
+	time.Sleep(1500 * time.Millisecond)
+	paused.Pause()
+	pausedAt := time.Now()
+	fleet.Platform.Publish(withdrawn...)
+	sleepUntil(pausedAt.Add(6 * time.Second))
+	wokeAt := time.Now()
+	paused.Resume()
+	records := waitLoad(t, load)
+
+	end := time.Now()
+	ran := entriesOf(fleet.Journal(), gone...)
+	checkNoStarts(t, "requests with a withdrawn key", ran, pausedAt.Add(stopsWithin), end)
+	checkNoStarts(t, "requests with a withdrawn key after the process woke", ran, wokeAt, end)
+	for _, r := range startedBetween(records, wokeAt, end) {
+		if r.Customer != "shop" && (r.Result != caller.NotRun || r.Reason != flow.ReasonKeyUnknown && r.Reason != flow.ReasonNoLease) {
+			t.Errorf("not refused after the process woke: %s", describe(r))
+		}
+	}
+	checkTruth(t, fleet, records)
+	toPaused := func(r caller.Record) bool { return r.Ingresses[0] == fleet.CallerAddress(paused) }
+	var there, elsewhere []caller.Record
+	for _, r := range startedBetween(records, pausedAt.Add(stopsWithin), end) {
+		if r.Customer != "shop" {
+			continue
+		}
+		if toPaused(r) {
+			there = append(there, r)
+		} else {
+			elsewhere = append(elsewhere, r)
+		}
+	}
+	checkServed(t, "requests of another customer to the other hosts", elsewhere)
+	figure(t, "last start with a withdrawn key %v after the withdrawal", lastStart(ran, pausedAt, end))
+	figure(t, "served again %v after the process woke", firstAnswered(there, wokeAt))
+	figure(t, "requests to the paused host from %v after the pause: %s", stopsWithin, tally(there))
+}
+
+// -----------------------------------------------------------------------------
+
+// TestMinorityKilled shows that the rest serves while a minority of the hosts
+// is gone, and that those serve again when they are started.
+func TestMinorityKilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := startFleet(t, planWith(5, "shop"), false)
+	killed := fleet.Daemons[3:]
+	rest := others(fleet, killed...)
+	load := startLoad(t, caller.Options{
+		Ingresses: addressesOf(fleet, rest...),
+		Customers: []caller.Customer{traffic("shop", 100, caller.Spread)},
+		Duration:  12 * time.Second,
+	})
+	time.Sleep(time.Second)
+	killedAt := time.Now()
+	for _, d := range killed {
+		d.Kill()
+	}
+	sleepUntil(killedAt.Add(7 * time.Second))
+	startedAt := time.Now()
+	for _, d := range killed {
+		is.NoErr(d.Start(t.Context()))
+	}
+	for _, d := range killed {
+		awaitServedWithin(t, fleet, d, "shop", inForceWithin)
+	}
+	figure(t, "killed hosts served %v after their start", time.Since(startedAt))
+	records := waitLoad(t, load)
+	checkServed(t, "requests to the rest", startedBetween(records, killedAt.Add(stopsWithin), startedAt))
+	checkServed(t, "requests to the rest after the start", startedBetween(records, startedAt, time.Now()))
+	checkTruth(t, fleet, records)
+	figure(t, "requests in the %v after two of five hosts were killed: %s", stopsWithin, tally(startedBetween(records, killedAt, killedAt.Add(stopsWithin))))
+}
