Restarts without a gap, records changed under load, and the experiment tool

Change: when the server ends its last connection without having said so, that counts like a refused connection. Requests are composed in one place now, so that a transport repeats none by itself.

--- /dev/null
+++ b/cmd/standin/experiment_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/commander"
+)
+
+func TestExperimentCommands(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.hujson")
+	if err := os.WriteFile(bad, []byte("{\n\"speed\": 1}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	const good = "../../experiments/ge-east-baseline.hujson"
+	cases := map[string]struct {
+		args string
+		code int
+		err  string
+	}{
+		"a sound file":                {args: "experiment --check " + good, code: commander.ExitFine},
+		"flags after the file":        {args: "experiment " + good + " --set limiter=fixed --check", code: commander.ExitFine},
+		"no file":                     {args: "experiment", code: commander.ExitUsage, err: "no experiment file"},
+		"two files":                   {args: "experiment a b", code: commander.ExitUsage, err: "not \"b\" too"},
+		"an unknown flag after it":    {args: "experiment a --fast", code: commander.ExitUsage, err: "fast"},
+		"a file with unknown fields":  {args: "experiment --check " + bad, code: commander.ExitUsage, err: ":2: speed is no known field"},
+		"an unknown setting":          {args: "experiment --check --set speed=1 " + good, code: commander.ExitUsage, err: "speed=1"},
+		"a comparison of one":         {args: "compare a", code: commander.ExitUsage, err: "two result files"},
+		"a comparison with no result": {args: "compare a b", code: commander.ExitFailed, err: "read-result: a"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var stderr bytes.Buffer
+			code := commander.Run(t.Context(), "standin", table(), strings.Fields(tc.args), commander.Streams{Out: io.Discard, Err: &stderr})
+			is.Equal(code, tc.code)
+			is.True(strings.Contains(stderr.String(), tc.err))
+		})
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,5 +17,8 @@
 		faultCommand(),
 		callerCommand(),
 		demoCommand(),
+		experimentCommand(),
+		compareCommand(),
+		plotCommand(),
 	}
 }
--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -23,31 +24,52 @@
 type Conn struct {
 	net.Conn
 
-	onClose func()
+	onClose func(byPeer bool)
 	closing sync.Once
 
-	mu      sync.Mutex
-	written int64 // bytes
-	sealed  bool
+	mu       sync.Mutex
+	written  int64 // bytes
+	sealed   bool
+	ended    bool // the peer has ended the connection
+	expected bool // the peer said that it would
 }
 
 // NewConn wraps conn. When the connection is first closed, onClose is called
-// if it is not nil.
-func NewConn(conn net.Conn, onClose func()) *Conn {
+// if it is not nil, and told whether the peer ended the connection without
+// having said so before.
+func NewConn(conn net.Conn, onClose func(byPeer bool)) *Conn {
 	return &Conn{Conn: conn, onClose: onClose}
 }
 
+// Read reads from the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	var timeout net.Error
+	if err != nil && !errors.Is(err, net.ErrClosed) && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.closing.Do(func() {
 		if c.onClose != nil {
-			c.onClose()
+			c.onClose(c.endedByPeer())
 		}
 	})
 	return err
 }
 
+func (c *Conn) endedByPeer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended && !c.expected
+}
+
 // Write writes to the connection unless it is sealed.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -136,6 +158,18 @@
 	return a.conn.seal() == a.start && !a.touched
 }
 
+// ExpectClose notes that the peer said that it would close the connection after
+// its answer.
+func (a *Attempt) ExpectClose() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.mu.Lock()
+		a.conn.expected = true
+		a.conn.mu.Unlock()
+	}
+}
+
 // Connected reports whether the attempt ever had a connection.
 func (a *Attempt) Connected() bool {
 	a.mu.Lock()
--- a/internal/process/controller/configuration.go
+++ b/internal/process/controller/configuration.go
@@ -160,12 +160,10 @@
 // placeSenders gives every backend server of this host a sender, and tells the
 // gates which may take new work.
 func (c *Controller) placeSenders(now flow.Time) {
+	c.renewing = false
 	senders := make(map[string]*sender.Sender, len(c.senders))
 	for _, entry := range c.index.ServersOfHost(c.Settings.Host) {
-		s := c.senders[entry.Server.Name]
-		if s == nil || s.Server() != *entry.Server {
-			s = c.renewSender(s, *entry.Server)
-		}
+		s := c.senderOf(entry)
 		if s == nil {
 			continue
 		}
@@ -180,24 +178,31 @@
 	c.senders = senders
 }
 
-// renewSender replaces the sender of a backend server whose record changed.
-func (c *Controller) renewSender(old *sender.Sender, server flow.BackendServer) *sender.Sender {
-	if old != nil && old.Adopt(server) {
+// senderOf returns the sender of a backend server. When more of its record
+// changed than its state, the sender is replaced, but not before all that runs
+// under the old record has ended: two gates would let too much through.
+func (c *Controller) senderOf(entry indexer.ServerEntry) *sender.Sender {
+	old := c.senders[entry.Server.Name]
+	if old != nil && (old.Server() == *entry.Server || old.Adopt(*entry.Server)) {
+		return old
+	}
+	if old != nil && !old.Idle() {
+		c.renewing = true
 		return old
 	}
 	if old != nil {
 		old.Close()
 	}
 	limit, err := limiter.New(c.Settings.Behaviour.Limiter, limiter.Options{
-		Server:    server.Name,
-		Slots:     server.Slots,
-		ColdStart: server.ColdStart,
+		Server:    entry.Server.Name,
+		Slots:     entry.Server.Slots,
+		ColdStart: entry.Server.ColdStart,
 	})
 	if err != nil {
-		c.Log.Error(err, "backend server has no limiter", "step", "place-senders", "peer", server.Name)
+		c.Log.Error(err, "backend server has no limiter", "step", "place-senders", "peer", entry.Server.Name)
 		return nil
 	}
-	return sender.New(server, limit, c.Clock)
+	return sender.New(*entry.Server, limit, c.Clock)
 }
 
 // setServing moves a gate into the state that the configuration and the
@@ -207,6 +212,9 @@
 	if until, ok := c.ejected[entry.Server.Name]; ok && now.Before(until) {
 		state = admitter.StateEjected
 	}
+	if s.Server() != *entry.Server {
+		state = admitter.StateDraining // until it can be replaced
+	}
 	if !entry.TakesNewWork() {
 		state = admitter.StateLeaving
 	}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -75,9 +75,10 @@
 	cuts     map[string]flow.Revision // of changes of a customer's shares since the baseline
 	claiming map[string]int           // claims that are on the way, by thing
 
-	senders   map[string]*sender.Sender
-	ejected   map[string]flow.Time   // end of the ejection lease by backend server
-	inService map[string]serviceSize // by service of the own backend servers
+	senders   map[string]*sender.Sender // replaced as a whole, never changed
+	renewing  bool                      // a sender waits to be replaced
+	ejected   map[string]flow.Time      // end of the ejection lease by backend server
+	inService map[string]serviceSize    // by service of the own backend servers
 	status    prover.Status
 	unproved  map[string]bool // never changed once set
 	stopping  bool
@@ -177,6 +178,9 @@
 	now := c.Clock.Now()
 	c.heartbeats(now)
 	c.read(now)
+	if c.renewing {
+		c.placeSenders(now)
+	}
 	c.endEjections(now)
 	c.report(now)
 	c.watchZone(now)
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -85,8 +85,10 @@
 // Status returns the state of the daemon, or false when it has stopped.
 func (c *Controller) Status(ctx context.Context) (Status, bool) {
 	var status Status
-	ok := c.Do(ctx, func() { status = c.describe(c.Clock.Now()) })
-	return status, ok
+	if !c.Do(ctx, func() { status = c.describe(c.Clock.Now()) }) {
+		return Status{}, false // the function may still run later
+	}
+	return status, true
 }
 
 func (c *Controller) describe(now flow.Time) Status {
--- a/internal/process/sender/sender.go
+++ b/internal/process/sender/sender.go
@@ -28,6 +28,7 @@
 	gate    *admitter.Gate
 	waiting map[uint64]chan *flow.Refusal // nil on the channel means that the request starts
 	lastID  uint64
+	open    int // connections
 	timer   *time.Timer
 }
 
@@ -83,6 +84,7 @@
 	sender  *Sender
 	id      uint64
 	attempt sealer.Attempt
+	sent    bool // a byte of the request may have gone out
 }
 
 // Admit waits until the gate lets the request start. The error is a refusal:
@@ -148,6 +150,15 @@
 // Finish ends the request: what it says of the server, and the time that the
 // server took.
 func (t *Ticket) Finish(verdict flow.Verdict, latency time.Duration) {
+	if t.sent && (verdict == flow.VerdictCancelled || verdict == flow.VerdictTimeout) {
+		// The server has yet to notice that it need not go on.
+		time.AfterFunc(noticeTime, func() { t.finish(verdict, latency) })
+		return
+	}
+	t.finish(verdict, latency)
+}
+
+func (t *Ticket) finish(verdict flow.Verdict, latency time.Duration) {
 	s := t.sender
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,6 +221,13 @@
 	return s.gate.Load(s.clock.Now())
 }
 
+// Idle reports whether nothing waits or runs, and no connection is in use.
+func (s *Sender) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Idle()
+}
+
 // Report returns the work since the last report.
 func (s *Sender) Report() flow.ServerReport {
 	s.mu.Lock()
--- a/internal/process/sender/transport.go
+++ b/internal/process/sender/transport.go
@@ -19,6 +19,9 @@
 	idleTimeout = 10 * time.Second
 	// headerLimit bounds the headers of an answer in bytes.
 	headerLimit = 64 << 10
+	// noticeTime is how long a server may take to notice that a connection was
+	// closed, and to end what ran on it.
+	noticeTime = 25 * time.Millisecond
 	// openingPoll is the least wait before asking again to open a connection.
 	openingPoll = time.Millisecond
 )
@@ -42,8 +45,12 @@
 	request = request.WithContext(t.attempt.Trace(request.Context()))
 	response, err = t.sender.transport.RoundTrip(request)
 	if err != nil {
-		unsent := t.attempt.Seal()
-		return nil, !unsent, flow.Wrap("send", t.sender.name, err)
+		t.sent = !t.attempt.Seal()
+		return nil, t.sent, flow.Wrap("send", t.sender.name, err)
+	}
+	t.sent = true
+	if response.Close {
+		t.attempt.ExpectClose()
 	}
 	return response, true, nil
 }
@@ -60,9 +67,10 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
-		s.closed()
+		s.released()
 		return nil, err
 	}
+	s.opened()
 	return sealer.NewConn(conn, s.closed), nil
 }
 
@@ -90,7 +98,26 @@
 	return max(s.gate.NextOpening(now).Sub(now), openingPoll), false
 }
 
-func (s *Sender) closed() {
+func (s *Sender) opened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open++
+}
+
+// closed takes the end of a connection. When the server ended the last one
+// without having said so, it was restarted: it may be cold.
+func (s *Sender) closed(byServer bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	if byServer && s.open == 0 {
+		s.gate.Restarted(s.clock.Now())
+	}
+	time.AfterFunc(noticeTime, s.released)
+}
+
+// released gives the place of a connection back to the gate.
+func (s *Sender) released() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gate.Closed(s.clock.Now())
--- a/internal/request/acceptor/sending.go
+++ b/internal/request/acceptor/sending.go
@@ -3,16 +3,15 @@
 package acceptor
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/process/sender"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/answerer"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -71,31 +70,21 @@
 	return answer, nil
 }
 
-// outgoing makes the request for the backend server. Its body can't be read
-// twice, so that the transport never sends the request again by itself.
+// outgoing makes the request for the backend server.
 func (a *Acceptor) outgoing(ctx context.Context, in *arrival) (*http.Request, error) {
-	target := "http://" + in.sender.Server().Address + in.request.URL.RequestURI()
-	request, err := http.NewRequestWithContext(ctx, in.request.Method, target, onceReader{bytes.NewReader(in.body)})
-	if err != nil {
-		return nil, err
-	}
-	request.ContentLength = int64(len(in.body))
-	request.Host = in.request.Host
-	request.Header = in.request.Header.Clone()
-	answerer.StripHop(request.Header)
-	answerer.StripOwn(request.Header)
+	header := in.request.Header.Clone()
+	answerer.StripHop(header)
+	answerer.StripOwn(header)
 	id, _, _ := strings.Cut(in.permit.Attempt, "/")
-	request.Header.Set(flow.HeaderRequestID, id)
-	request.Header.Set(HeaderDeadline, max(in.deadline.Sub(a.Clock.Now()), 0).String())
+	header.Set(flow.HeaderRequestID, id)
+	header.Set(HeaderDeadline, max(in.deadline.Sub(a.Clock.Now()), 0).String())
 	if in.permit.Customer != "" {
-		request.Header.Set(HeaderCustomer, in.permit.Customer)
+		header.Set(HeaderCustomer, in.permit.Customer)
 	}
-	return request, nil
+	target := "http://" + in.sender.Server().Address + in.request.URL.RequestURI()
+	return composer.Compose(ctx, in.request.Method, target, in.request.Host, header, in.body)
 }
 
-// onceReader hides every method of a reader but Read.
-type onceReader struct{ io.Reader }
-
 // failure classifies a request that got no answer.
 func (a *Acceptor) failure(ctx context.Context, sent bool, err error) (flow.Verdict, flow.Reason) {
 	var opError *net.OpError
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -9,7 +9,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +26,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/process/registrar"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/timekeeper"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/answerer"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/permitter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -203,28 +203,18 @@
 	return nil
 }
 
-// outgoing makes the request to the other daemon. Its body can't be read twice,
-// so that the transport never sends the request again by itself.
+// outgoing makes the request to the other daemon.
 func (f *Forwarder) outgoing(ctx context.Context, attempt *Attempt) (*http.Request, error) {
 	permit, err := f.Permitter.SignPermit(&attempt.Permit)
 	if err != nil {
 		return nil, err
 	}
+	header := attempt.Header.Clone()
+	header.Set(permitter.HeaderPermit, permit)
 	target := "http://" + attempt.Target.DataAddress + attempt.Request.URL.RequestURI()
-	request, err := http.NewRequestWithContext(ctx, attempt.Request.Method, target, onceReader{bytes.NewReader(attempt.Body)})
-	if err != nil {
-		return nil, err
-	}
-	request.ContentLength = int64(len(attempt.Body))
-	request.Host = attempt.Host
-	request.Header = attempt.Header.Clone()
-	request.Header.Set(permitter.HeaderPermit, permit)
-	return request, nil
+	return composer.Compose(ctx, attempt.Request.Method, target, attempt.Host, header, attempt.Body)
 }
 
-// onceReader hides every method of a reader but Read.
-type onceReader struct{ io.Reader }
-
 // -----------------------------------------------------------------------------
 
 // The causes for which an attempt is given up before its answer came.
