The model check as a command

standin model checks random schedules for as long as there is time, and shows the shortest one that it finds. The model moves out of the test files; the library's generator of schedules gives way to a seeded one of our own, so that the command needs no testing library; schedules that break a promise are shortened by leaving out steps.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 		faultCommand(),
 		callerCommand(),
 		demoCommand(),
+		modelCommand(),
 		experimentCommand(),
 		compareCommand(),
 		plotCommand(),
--- a/internal/process/modelchecker/mutation_test.go
+++ b/internal/process/modelchecker/mutation.go
@@ -1,7 +1,7 @@
 // Mutations: faults put between the decisions and the world, each of which
 // takes away one rule of the design. The model check must find every one.
 
-package modelchecker_test
+package modelchecker
 
 import (
 	"time"
--- a/internal/process/modelchecker/world_test.go
+++ b/internal/process/modelchecker/world.go
@@ -1,7 +1,7 @@
 // The world: processes with their own clocks, a network that loses, delays and
 // reorders, and a platform that orders revisions.
 
-package modelchecker_test
+package modelchecker
 
 import (
 	"container/heap"
