--- a/internal/process/drawer/asking.go
+++ b/internal/process/drawer/asking.go
@@ -11,7 +11,8 @@
 )
 
 // plan asks for the tokens that waiting requests need and are not on the way,
-// and for stock once less than half of the target is left.
+// and for stock once less than half of the target is left. A stock for a longer
+// time is asked for along with these only.
 func (p *Pool) plan(now flow.Time) []granter.Request {
 	var asks []granter.Request
 	for range p.shares {
@@ -25,7 +26,7 @@
 		}
 		guess := int(math.Ceil(s.guess(now, p.shareLimit(s.index))))
 		urgent = min(urgent, max(guess, 1))
-		asks = append(asks, p.send(now, s, urgent+stock, urgent))
+		asks = append(asks, p.send(now, s, urgent, stock, p.ahead(now, stock)))
 	}
 	return asks
 }
@@ -33,10 +34,7 @@
 // shortfall returns the tokens that are missing for waiting requests, and for
 // the stock.
 func (p *Pool) shortfall(now flow.Time) (urgent, stock int) {
-	coming := 0
-	for _, s := range p.shares {
-		coming += s.coming(now, p.settings.HedgeAfter)
-	}
+	coming := p.coming(now)
 	urgent = max(len(p.waiting)-coming, 0)
 	left := p.Held() + max(coming-len(p.waiting), 0)
 	if target := p.target(now); left*2 < target {
@@ -45,6 +43,21 @@
 	return urgent, stock
 }
 
+// ahead returns the tokens to ask for besides the stock, for a longer time.
+func (p *Pool) ahead(now flow.Time, stock int) int {
+	left := p.Held() + max(p.coming(now)-len(p.waiting), 0)
+	return max(p.farTarget(now)-left-stock, 0)
+}
+
+// coming returns the tokens on the way from owners that are not silent.
+func (p *Pool) coming(now flow.Time) int {
+	sum := 0
+	for _, s := range p.shares {
+		sum += s.coming(now, p.settings.HedgeAfter)
+	}
+	return sum
+}
+
 // choose returns the share that is thought to have most, beginning with the
 // home share, or nil when none can be asked.
 func (p *Pool) choose(now flow.Time) *share {
@@ -67,12 +80,13 @@
 }
 
 // send makes the next request to a share; an unanswered one is given up.
-func (p *Pool) send(now flow.Time, s *share, want, waiting int) granter.Request {
+func (p *Pool) send(now flow.Time, s *share, waiting, stock, ahead int) granter.Request {
 	s.ask = ask{
 		sequence: p.counter.Next(),
 		sentAt:   now,
-		want:     want,
+		want:     waiting + stock + ahead,
 		waiting:  waiting,
+		ahead:    ahead,
 		reports:  s.reports(now),
 	}
 	s.newsAt = flow.Never
@@ -84,8 +98,9 @@
 		Incarnation: p.identity.Incarnation,
 		Sequence:    s.ask.sequence,
 		Answered:    s.answered,
-		Want:        want,
+		Want:        s.ask.want,
 		Waiting:     waiting,
+		Ahead:       ahead,
 		Reports:     s.ask.reports,
 	}
 }
@@ -95,14 +110,33 @@
 func (p *Pool) report(now flow.Time) []granter.Request {
 	var asks []granter.Request
 	for _, s := range p.shares {
-		due := s.newsAt != flow.Never && now.Sub(s.newsAt) >= p.reportDelay()
+		due := s.newsAt != flow.Never && !now.Before(p.reportDue(s))
 		if due && (s.ask.closed || s.ask.overdue) && !s.away(now) {
-			asks = append(asks, p.send(now, s, 0, 0))
+			asks = append(asks, p.send(now, s, 0, 0, 0))
 		}
 	}
 	return asks
 }
 
+// reportDue returns when the news of a share are due. While the owner has
+// enough, reports of use join the next request for tokens, and returned tokens
+// are reported before their lease ends. Nothing is due by itself when all tokens
+// of a lease were used: the owner counts them when the lease has run out. It
+// never counts a use earlier than it was reported, so that what is lost by a
+// late or missing report is only tokens that could have accrued meanwhile.
+func (p *Pool) reportDue(s *share) flow.Time {
+	most := max(p.shareLimit(s.index).Burst/unreportedParts, leastUnreported)
+	if s.ample && s.unreported() <= most {
+		return s.returnDue()
+	}
+	return s.newsAt.Add(p.reportDelay())
+}
+
+const (
+	unreportedParts = 16 // of the burst of a share, one part in so many may be used and not reported
+	leastUnreported = 2  // tokens of which the use need not be reported
+)
+
 // reportDelay is shorter for a burst that is small for its rate: tokens whose
 // use is not reported keep the bucket from filling.
 func (p *Pool) reportDelay() time.Duration {
--- a/internal/process/drawer/measure_test.go
+++ b/internal/process/drawer/measure_test.go
@@ -52,6 +52,29 @@
 			return time.Duration(float64(left) / limit.PerSecond() / 0.8 * float64(time.Second)), index
 		}
 	},
+	"half": func(limit granter.Limit) func(*rand.Rand, time.Duration) (time.Duration, int) {
+		return func(rng *rand.Rand, _ time.Duration) (time.Duration, int) {
+			return poisson(rng, limit.PerSecond()*0.5), rng.Intn(measureHosts)
+		}
+	},
+	"half at one": func(limit granter.Limit) func(*rand.Rand, time.Duration) (time.Duration, int) {
+		return func(rng *rand.Rand, _ time.Duration) (time.Duration, int) {
+			return poisson(rng, limit.PerSecond()*0.5), 0
+		}
+	},
+	"half at one, bursts at others": func(limit granter.Limit) func(*rand.Rand, time.Duration) (time.Duration, int) {
+		left, index, next := 0, 0, time.Second
+		return func(rng *rand.Rand, now time.Duration) (time.Duration, int) {
+			if left--; left >= 0 {
+				return 0, index
+			}
+			if now > next {
+				left, index = limit.Burst*9/10, rng.Intn(measureHosts)
+				next = now + time.Duration(3*float64(limit.Burst)/limit.PerSecond()*float64(time.Second))
+			}
+			return poisson(rng, limit.PerSecond()*0.5), 0
+		}
+	},
 	"threefold": func(limit granter.Limit) func(*rand.Rand, time.Duration) (time.Duration, int) {
 		return func(rng *rand.Rand, _ time.Duration) (time.Duration, int) {
 			return poisson(rng, limit.PerSecond()*3), rng.Intn(measureHosts)
@@ -91,6 +114,7 @@
 func TestMeasureRefusalsInsideTheRate(t *testing.T) {
 	large := granter.Limit{MicrotokensPerSecond: 200e6, Burst: 200}
 	low := granter.Limit{MicrotokensPerSecond: 20e6, Burst: 20}
+	typical := granter.Limit{MicrotokensPerSecond: 10e6, Burst: 20}
 	tight := granter.Limit{MicrotokensPerSecond: 200e6, Burst: 20}
 	middle := granter.Limit{MicrotokensPerSecond: 200e6, Burst: 40}
 
@@ -105,6 +129,15 @@
 			}
 		}
 	}
+	for _, limit := range []granter.Limit{typical, large, low} {
+		for _, caller := range []string{"half", "half at one", "half at one, bursts at others"} {
+			for _, shares := range []int{1, 2, 8} {
+				p := measured(caller, limit, shares)
+				p.length = 3 * measureRun
+				logRow(t, caller, fmt.Sprint("k=", shares), p)
+			}
+		}
+	}
 	for _, caller := range []string{"skewed", "wandering", "bursty"} {
 		for _, lifetime := range []time.Duration{250, 500, 1000, 2000} {
 			for _, loss := range []float64{0, 0.02} {
--- a/internal/process/drawer/pool.go
+++ b/internal/process/drawer/pool.go
@@ -40,9 +40,11 @@
 	settings  Settings
 	counter   *Counter
 	demand    demand
+	far       demand // averaged over a longer time
 	shares    []*share
 	waiting   []waiter
 	lastDraw  flow.Time
+	overAt    flow.Time // the customer was last refused as over its rate
 	thinUntil flow.Time // an owner had too little for a stock
 }
 
@@ -59,27 +61,29 @@
 		counter:   counter,
 		shares:    make([]*share, max(identity.Shares, 1)),
 		lastDraw:  flow.Never,
+		overAt:    flow.Never,
 		thinUntil: flow.Never,
 	}
 	for i := range p.shares {
 		p.shares[i] = &share{
-			index:     i,
-			ask:       ask{closed: true},
-			answered:  counter.last,
-			dryUntil:  flow.Never,
-			saidNoAt:  flow.Never,
-			awayUntil: flow.Never,
-			levelAt:   flow.Never,
-			newsAt:    flow.Never,
+			index:      i,
+			ask:        ask{closed: true},
+			answered:   counter.last,
+			dryUntil:   flow.Never,
+			emptyUntil: flow.Never,
+			awayUntil:  flow.Never,
+			levelAt:    flow.Never,
+			newsAt:     flow.Never,
 		}
 	}
 	return p
 }
 
 // Draw takes a token, or lets the request wait for tokens on the way, or
-// refuses it when every owner that can be reached said no lately.
+// refuses it when no token can be had soon.
 func (p *Pool) Draw(now flow.Time) Decision {
 	p.demand.add(now, p.settings.Averaging)
+	p.far.add(now, p.settings.FarAveraging)
 	p.lastDraw = now
 	p.recall(now)
 	if len(p.waiting) == 0 {
@@ -146,19 +150,19 @@
 // Answered takes an owner's answer. Only the answer to the latest request to
 // the share counts, and only once.
 func (p *Pool) Answered(now flow.Time, answer granter.Answer) Effects {
-	if answer.Share < 0 || answer.Share >= len(p.shares) || answer.Shares != len(p.shares) {
-		return Effects{}
-	}
-	s := p.shares[answer.Share]
-	if s.ask.closed || s.ask.sequence != answer.Sequence {
+	s := p.asked(answer.Share, answer.Sequence)
+	if s == nil || answer.Shares != len(p.shares) {
 		return Effects{}
 	}
 	s.ask.closed = true
 	s.answered = answer.Sequence
 	s.failures = 0
+	s.misdirected = false
+	p.learn(s, now.Sub(s.ask.sentAt))
 	s.awayUntil = flow.Never
 	s.level = float64(answer.Level)
 	s.levelAt = now
+	s.ample = answer.Ample
 	s.acknowledge(now, s.ask.reports)
 	p.receive(s, answer)
 	p.remember(now, s, answer)
@@ -181,32 +185,61 @@
 
 // remember keeps in mind that the owner had too little.
 func (p *Pool) remember(now flow.Time, s *share, answer granter.Answer) {
-	if answer.Granted >= s.ask.want {
+	if answer.Granted >= s.ask.want-s.ask.ahead {
 		return
 	}
 	until := now.Add(min(answer.RetryAfter, p.settings.DryLimit))
 	p.thinUntil = max(until, now.Add(p.settings.Horizon/2))
 	if answer.Granted < s.ask.waiting {
 		s.dryUntil = until
-		s.saidNoAt = until
+		s.emptyUntil = until
+	}
+	if answer.Fresh {
+		s.emptyUntil = flow.Never
 	}
 }
 
-// Failed reports that a request to an owner was not answered, or not by an
-// owner that acts.
+// Failed reports that a request to an owner was not answered.
 func (p *Pool) Failed(now flow.Time, index int, sequence uint64) Effects {
-	if index < 0 || index >= len(p.shares) {
+	s := p.asked(index, sequence)
+	if s == nil {
 		return Effects{}
 	}
-	s := p.shares[index]
-	if s.ask.closed || s.ask.sequence != sequence {
+	s.ask.closed = true
+	p.turnAway(now, s)
+	return p.proceed(now)
+}
+
+// Misdirected reports that the peer is not the owner or does not act. Another
+// host may be known as the owner by now, so it is asked again at once, and then
+// after a short time.
+func (p *Pool) Misdirected(now flow.Time, index int, sequence uint64) Effects {
+	s := p.asked(index, sequence)
+	if s == nil {
 		return Effects{}
 	}
 	s.ask.closed = true
-	p.turnAway(now, s)
+	s.emptyUntil = flow.Never
+	s.renote(now)
+	if s.misdirected {
+		s.awayUntil = now.Add(p.settings.AwayFirst)
+	}
+	s.misdirected = true
 	return p.proceed(now)
 }
 
+// asked returns a share whose latest request is open and has a sequence, or nil.
+func (p *Pool) asked(index int, sequence uint64) *share {
+	if index < 0 || index >= len(p.shares) {
+		return nil
+	}
+	s := p.shares[index]
+	if s.ask.closed || s.ask.sequence != sequence {
+		return nil
+	}
+	return s
+}
+
 func (p *Pool) turnAway(now flow.Time, s *share) {
 	backoff := p.settings.AwayLimit
 	if s.failures < maxDoublings {
@@ -214,6 +247,7 @@
 	}
 	s.failures++
 	s.awayUntil = now.Add(backoff)
+	s.emptyUntil = flow.Never
 	s.renote(now)
 }
 
@@ -230,8 +264,9 @@
 
 // -----------------------------------------------------------------------------
 
-// proceed serves waiting requests, asks for what is missing, and refuses those
-// that have waited long enough or for which no token can be had soon.
+// proceed serves waiting requests, refuses those that have waited long enough,
+// asks for what is missing, and refuses those for which no token can be had
+// soon.
 func (p *Pool) proceed(now flow.Time) Effects {
 	var effects Effects
 	for len(p.waiting) > 0 {
@@ -242,11 +277,11 @@
 		effects.Decided = append(effects.Decided, Decided{p.waiting[0].ticket, Decision{Taken: true, Token: token}})
 		p.waiting = p.waiting[1:]
 	}
-	effects.Ask = p.plan(now)
 	for len(p.waiting) > 0 && !now.Before(p.waiting[0].deadline) {
 		effects.Decided = append(effects.Decided, Decided{p.waiting[0].ticket, p.refusal(now)})
 		p.waiting = p.waiting[1:]
 	}
+	effects.Ask = p.plan(now)
 	room := min(p.room(now), len(p.waiting))
 	for _, w := range p.waiting[room:] {
 		effects.Decided = append(effects.Decided, Decided{w.ticket, p.refusal(now)})
@@ -275,33 +310,49 @@
 	return Token{Share: share, Lease: best.id, NotAfter: best.expiry}, true
 }
 
-// room returns how many requests may wait: many while tokens are on the way,
-// as many as may accrue while a dry share is worth asking again soon, and none
-// otherwise.
+// room returns how many requests may wait: many while tokens are on the way or
+// an owner is slow, as many as may accrue while a dry share is worth asking
+// again soon, and none otherwise.
 func (p *Pool) room(now flow.Time) int {
-	soon := now.Add(p.settings.DryWait)
+	wait := p.settings.DryWait
+	if now.Sub(p.overAt) < p.settings.OverMemory {
+		wait = p.settings.OverWait
+	}
+	soon := now.Add(wait)
 	room := 0
 	for _, s := range p.shares {
-		if s.pending() {
+		if s.pending() || s.late() {
 			return p.settings.MaxWaiting
 		}
 		if !s.away(now) && s.dryUntil <= soon {
-			room = 1 + int(p.identity.Limit.PerSecond()*p.settings.DryWait.Seconds())
+			room = 1 + int(p.identity.Limit.PerSecond()*wait.Seconds())
 		}
 	}
 	return min(room, p.settings.MaxWaiting)
 }
 
-// refusal says that the customer is over its rate when an owner that can be
-// reached said no lately, and that the rate is unavailable otherwise.
+// refusal says that the customer is over its rate when the owners of all shares
+// had nothing lately, and that the rate is unavailable otherwise: the tokens of
+// a share whose owner is silent or new may be merely away.
 func (p *Pool) refusal(now flow.Time) Decision {
-	refusal := Decision{Refuse: true, Reason: flow.ReasonRateUnavailable, RetryAfter: p.settings.AwayLimit}
+	refusal := Decision{Refuse: true, Reason: flow.ReasonOverRate, RetryAfter: p.settings.AwayLimit}
 	for _, s := range p.shares {
-		if s.away(now) || now.Sub(s.saidNoAt) > p.settings.WaitLimit {
+		if !p.empty(now, s) {
+			refusal.Reason = flow.ReasonRateUnavailable
 			continue
 		}
-		refusal.Reason = flow.ReasonOverRate
 		refusal.RetryAfter = min(refusal.RetryAfter, max(s.dryUntil.Sub(now), time.Millisecond))
 	}
+	if refusal.Reason == flow.ReasonOverRate {
+		p.overAt = now
+	}
 	return refusal
 }
+
+// empty reports whether the owner of a share had nothing lately, and has not
+// been silent since for longer than it usually takes.
+func (p *Pool) empty(now flow.Time, s *share) bool {
+	usual := max(s.patience, p.settings.HedgeAfter)
+	silent := s.pending() && now.Sub(s.ask.sentAt) >= usual
+	return !silent && now.Sub(s.emptyUntil) <= p.settings.WaitLimit
+}
--- a/internal/process/drawer/random_test.go
+++ b/internal/process/drawer/random_test.go
@@ -88,6 +88,13 @@
 		"lifetime on the asker is longer": func(p *plan) {
 			p.mutate = func(answer *granter.Answer, _ time.Duration) { answer.Lifetime += 500 * time.Millisecond }
 		},
+		"asker takes what it asked for ahead and did not get": func(p *plan) {
+			ahead := map[uint64]int{}
+			p.mutateAsk = func(request *granter.Request) { ahead[request.Sequence] = request.Want }
+			p.mutate = func(answer *granter.Answer, _ time.Duration) {
+				answer.Granted = max(answer.Granted, ahead[answer.Sequence])
+			}
+		},
 		"use is reported before the run": func(p *plan) { p.spendSoon = true },
 		"use is reported as older than it is": func(p *plan) {
 			p.mutateAsk = func(request *granter.Request) {
--- a/internal/process/drawer/share.go
+++ b/internal/process/drawer/share.go
@@ -21,6 +21,7 @@
 	expiry   flow.Time // on the own clock; nothing of the lease may begin to run at or after it
 	recall   flow.Time // from when on free tokens are returned
 	lastUse  flow.Time
+	noticed  flow.Time      // since when tokens are returned that the owner does not know of
 	told     granter.Report // what the owner is known to know
 }
 
@@ -41,8 +42,11 @@
 }
 
 // giveUp makes up to n free tokens unusable and returns how many.
-func (l *lease) giveUp(n int) int {
+func (l *lease) giveUp(now flow.Time, n int) int {
 	n = min(n, l.free)
+	if l.returned == l.told.Returned {
+		l.noticed = now
+	}
 	l.free -= n
 	l.returned += n
 	return n
@@ -57,23 +61,27 @@
 	sentAt   flow.Time
 	want     int
 	waiting  int
+	ahead    int
 	reports  []granter.Report
 	closed   bool // answered or failed
 	overdue  bool // counted as failed, though its answer may come
 }
 
 type share struct {
-	index     int
-	leases    []*lease
-	ask       ask
-	answered  uint64    // sequence of the last request whose answer was accepted
-	dryUntil  flow.Time // the owner had nothing for waiting requests
-	saidNoAt  flow.Time // end of the last time for which the owner was dry
-	awayUntil flow.Time
-	failures  int
-	level     float64 // tokens that the owner had left
-	levelAt   flow.Time
-	newsAt    flow.Time // since when something is to be reported; flow.Never when nothing is
+	index       int
+	leases      []*lease
+	ask         ask
+	answered    uint64    // sequence of the last request whose answer was accepted
+	dryUntil    flow.Time // the owner had nothing for waiting requests
+	emptyUntil  flow.Time // end of the last time for which the owner was dry; flow.Never when it failed since, or its bucket was fresh
+	awayUntil   flow.Time
+	failures    int
+	misdirected bool          // the latest peer was not the owner
+	patience    time.Duration // the owner counts as away when it is silent for so long; 0 for the shortest
+	level       float64       // tokens that the owner had left
+	levelAt     flow.Time
+	ample       bool      // the owner had enough that reports of use can wait for the next request
+	newsAt      flow.Time // since when something is to be reported; flow.Never when nothing is
 }
 
 // pending reports whether tokens are on the way.
@@ -81,6 +89,10 @@
 	return !s.ask.closed && !s.ask.overdue && s.ask.want > 0
 }
 
+// late reports whether the answer is late for the first time, so that it is
+// worth waiting for.
+func (s *share) late() bool { return !s.ask.closed && s.ask.overdue && s.failures == 1 }
+
 // coming returns the tokens on the way, unless the owner has been silent.
 func (s *share) coming(now flow.Time, hedgeAfter time.Duration) int {
 	if !s.pending() || now.Sub(s.ask.sentAt) >= hedgeAfter {
@@ -125,6 +137,37 @@
 	}
 }
 
+// unreported returns the uses that the owner does not know of.
+func (s *share) unreported() int {
+	sum := 0
+	for _, l := range s.leases {
+		sum += l.used - l.told.Used
+	}
+	return sum
+}
+
+// returnDue returns when returned tokens are to be reported at the latest, so
+// that the owner knows before it counts them as used.
+func (s *share) returnDue() flow.Time {
+	due := distant
+	for _, l := range s.leases {
+		if l.returned > l.told.Returned {
+			due = min(due, l.noticed.Add(returnDelay), l.expiry.Add(-returnReserve))
+		}
+	}
+	return due
+}
+
+const (
+	// distant is later than everything that is due.
+	distant = flow.Time(1 << 60)
+	// returnDelay is how long returned tokens wait for the next request.
+	returnDelay = 200 * time.Millisecond
+	// returnReserve is how long before the end of a lease its last returned
+	// tokens are reported.
+	returnReserve = 50 * time.Millisecond
+)
+
 func (s *share) note(now flow.Time) {
 	if s.newsAt == flow.Never {
 		s.newsAt = now
@@ -144,7 +187,7 @@
 // leases of which there is nothing left to say.
 func (s *share) recall(now flow.Time) {
 	for _, l := range s.leases {
-		if !now.Before(l.recall) && l.giveUp(l.free) > 0 {
+		if !now.Before(l.recall) && l.giveUp(now, l.free) > 0 {
 			s.note(now)
 		}
 	}
--- a/internal/process/drawer/source.go
+++ b/internal/process/drawer/source.go
@@ -33,9 +33,11 @@
 	Spent(now flow.Time, token Token, ago time.Duration)
 	// Answered takes an owner's answer.
 	Answered(now flow.Time, answer granter.Answer) Effects
-	// Failed reports that a request to an owner was not answered, or that the
-	// peer is not the owner or does not act.
+	// Failed reports that a request to an owner was not answered.
 	Failed(now flow.Time, share int, sequence uint64) Effects
+	// Misdirected reports that the peer answered that it is not the owner or
+	// does not act.
+	Misdirected(now flow.Time, share int, sequence uint64) Effects
 	// Tick does what is due: timeouts, returns and reports.
 	Tick(now flow.Time) Effects
 	// Due returns the time at which Tick is to be called next.
--- a/internal/process/drawer/split.go
+++ b/internal/process/drawer/split.go
@@ -48,6 +48,9 @@
 // Failed does nothing: no owner is asked.
 func (s *Split) Failed(flow.Time, int, uint64) Effects { return Effects{} }
 
+// Misdirected does nothing: no owner is asked.
+func (s *Split) Misdirected(flow.Time, int, uint64) Effects { return Effects{} }
+
 // Tick does nothing.
 func (s *Split) Tick(flow.Time) Effects { return Effects{} }
 
--- a/internal/process/granter/asker.go
+++ b/internal/process/granter/asker.go
@@ -33,6 +33,17 @@
 	return nil
 }
 
+// outstanding returns the tokens that the asker may still use.
+func (a *asker) outstanding() int {
+	sum := 0
+	for _, l := range a.leases {
+		if !l.closed {
+			sum += l.left()
+		}
+	}
+	return sum
+}
+
 func (b *Bucket) askerOf(request Request) *asker {
 	key := askerKey{request.Asker, request.Incarnation}
 	a, ok := b.askers[key]
@@ -57,10 +68,12 @@
 // divide returns how many tokens the request gets. Waiting requests come
 // first; they share the level with the waiting requests that others were
 // refused lately. Of the rest, a stock for requests to come takes no more than
-// the asker's part of the recent demand, and half at most.
+// the asker's part of the recent demand, and half at most. What is asked for a
+// longer time is given last.
 func (b *Bucket) divide(now flow.Time, a *asker, request Request) int {
 	available := b.Level()
-	a.want = max(request.Want, 0)
+	ahead := max(min(request.Ahead, request.Want), 0)
+	a.want = max(request.Want-ahead, 0)
 	waiting := min(max(request.Waiting, 0), a.want)
 	a.unmet = 0
 	demand, unmet := b.recentDemand(now, a)
@@ -76,7 +89,8 @@
 	if stock > 0 && demand > spare {
 		stock = min(stock, spare*a.want/demand)
 	}
-	return urgent + min(stock, spare)
+	granted := urgent + min(stock, spare)
+	return granted + b.ahead(ahead, available-granted-unmet)
 }
 
 // recentDemand sums the wants of all recent askers, and what waiting requests
--- a/internal/process/granter/bucket.go
+++ b/internal/process/granter/bucket.go
@@ -42,12 +42,14 @@
 	settings    Settings
 	limit       Limit
 	at          flow.Time // time up to which tokens have accrued
+	freshUntil  flow.Time // before, the bucket may lack tokens that the customer did not use
 	sum         int64     // nanotokens in the level and outstanding together
 	reduced     int64     // nanotokens that left sum at time at
 	outstanding int       // tokens granted, and neither used, returned nor expired
 	askers      map[askerKey]*asker
 	expiring    []*lease // by expiry; may hold closed leases
 	lost        *overflow
+	used        usage
 }
 
 type lease struct {
@@ -64,7 +66,15 @@
 // NewBucket returns a bucket that was empty at since and accrues from there.
 // No other owner's grant may be usable after since. It grants nothing before.
 func NewBucket(now, since flow.Time, limit Limit, settings Settings) *Bucket {
-	b := &Bucket{settings: settings, limit: limit, at: since, askers: map[askerKey]*asker{}}
+	b := &Bucket{
+		settings:   settings,
+		limit:      limit,
+		at:         since,
+		freshUntil: since.Add(limit.refill()),
+		askers:     map[askerKey]*asker{},
+		used:       usage{at: now},
+	}
+	b.used.tokens = unknownPart * limit.PerSecond() * b.averaging().Seconds()
 	b.Advance(now)
 	return b
 }
@@ -118,7 +128,8 @@
 	b.takeReports(now, a, request)
 	granted := b.divide(now, a, request)
 	b.lend(now, a, granted)
-	retryAfter := b.retryAfter(now, a, request.Want-granted)
+	b.used.add(now, granted, b.averaging())
+	retryAfter := b.retryAfter(now, a, request.Want-request.Ahead-granted)
 	a.answer = Answer{
 		Customer:   request.Customer,
 		Share:      request.Share,
@@ -128,6 +139,8 @@
 		Lifetime:   b.settings.Lifetime,
 		RetryAfter: retryAfter + max(b.at.Sub(received), 0),
 		Level:      b.Level(),
+		Ample:      b.ample(a),
+		Fresh:      now.Before(b.freshUntil),
 	}
 	return a.answer, true
 }
@@ -181,6 +194,7 @@
 	l.returned += returned
 	l.closed = l.left() == 0
 	b.outstanding -= returned
+	b.used.add(b.at, -returned, b.averaging())
 	b.sum = min(b.sum, max(b.capacity(), b.held()))
 }
 
--- a/internal/process/granter/doc.go
+++ b/internal/process/granter/doc.go
@@ -10,6 +10,15 @@
 // within a window was, at its beginning, either in the level or outstanding, or
 // it accrued during the window.
 //
+// Nothing is counted as used earlier, not even a token that goes to a waiting
+// request: it may run late, when its place has been filled again. So a lease of
+// which all tokens were used needs no report, but its tokens stay outstanding
+// until it has run out. An owner tells its askers that this does no harm (Ample)
+// while the customer is well under its rate and the level is high; reports of
+// use then wait for the next request. By the same measure it lends tokens for a
+// longer time (Ahead), out of the upper part of the level only. Both move tokens
+// from the level to outstanding and create none.
+//
 // The lifetime of a lease runs on the ingress's clock from the moment it sent
 // its request, and on the owner's from the receipt, which is later. No clocks
 // are compared.
--- a/internal/process/granter/granter_test.go
+++ b/internal/process/granter/granter_test.go
@@ -138,6 +138,11 @@
 			{101, granter.Request{Asker: "greedy", Sequence: 2, Answered: 1, Want: 100}, 0, 1, 9},
 			{101, by("c", want(2, 0, 1)), 1, 0, 10},
 		},
+		"tokens ahead come last and leave most of the burst": {
+			{0, granter.Request{Asker: "greedy", Sequence: 1, Want: 9, Waiting: 1, Ahead: 8}, 3, 7, 3},
+			{0, granter.Request{Asker: "late", Sequence: 1, Want: 9, Waiting: 1, Ahead: 8}, 1, 6, 4},
+			{0, by("b", want(1, 0, 6)), 6, 0, 10},
+		},
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -209,6 +214,50 @@
 	}
 }
 
+// Only a customer that is well under its rate gets tokens ahead, and need not
+// report use.
+func TestBucketIsGenerousWellUnderTheRate(t *testing.T) {
+	cases := map[string]struct {
+		limit granter.Limit
+		every flow.Time // milliseconds between requests
+		ahead int
+	}{
+		"half the rate":                 {ten, 200, 2},
+		"the rate":                      {ten, 101, 0},
+		"half the rate, small burst":    {granter.Limit{MicrotokensPerSecond: 10e6, Burst: 7}, 200, 0},
+		"half the rate, burst of 0.2 s": {granter.Limit{MicrotokensPerSecond: 50e6, Burst: 10}, 40, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := full(tc.limit)
+			now := start
+			request := want(1, 0, 1)
+			for now < start+10_000 {
+				b.Grant(now, request)
+				now += tc.every
+				request = want(request.Sequence+1, request.Sequence, 1, used(request.Sequence, 1, time.Duration(tc.every-1)*time.Millisecond))
+			}
+			request.Want, request.Ahead = 9, 8
+			answer, _ := b.Grant(now, request)
+			is.Equal(answer.Granted, 1+tc.ahead)
+			is.Equal(answer.Ample, tc.ahead > 0)
+		})
+	}
+}
+
+// An owner whose bucket lacks its past says so until the burst has accrued.
+func TestOwnerTellsThatItsBucketIsFresh(t *testing.T) {
+	is := is.New(t)
+	b := granter.NewBucket(start, start+500, ten, exact())
+	fresh, _ := b.Grant(start+1499, want(1, 0, 0))
+	is.True(fresh.Fresh)
+	known, _ := b.Grant(start+1500, want(2, 1, 0))
+	is.True(!known.Fresh)
+	adopted, _ := granter.Import(start+1500, b.Export(start+1500), ten, exact()).Grant(start+1500, want(3, 2, 0))
+	is.True(!adopted.Fresh)
+}
+
 // -----------------------------------------------------------------------------
 
 var tenure = granter.Tenure{Since: flow.Never, Limit: ten}
--- a/internal/process/granter/handover.go
+++ b/internal/process/granter/handover.go
@@ -40,6 +40,7 @@
 // way is left out, and the remaining lifetimes start at the arrival.
 func Import(now flow.Time, state State, limit Limit, settings Settings) *Bucket {
 	b := NewBucket(now, now+1, limit, settings)
+	b.freshUntil = flow.Never
 	for _, from := range state.Leases {
 		l := &lease{
 			sequence: from.Sequence,
--- a/internal/process/granter/limit.go
+++ b/internal/process/granter/limit.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -14,6 +15,7 @@
 const (
 	microtokens       = 1_000_000 // microtokens in a token
 	minimumShareBurst = 8         // tokens; a burst is not cut into smaller shares
+	longestRefill     = time.Minute
 )
 
 // Limit is a token bucket's rate and size.
@@ -27,6 +29,15 @@
 	return float64(l.MicrotokensPerSecond) / microtokens
 }
 
+// refill returns the time in which the burst accrues, or the longest wait that
+// matters when it never does.
+func (l Limit) refill() time.Duration {
+	if l.MicrotokensPerSecond <= 0 {
+		return longestRefill
+	}
+	return min(time.Duration(float64(l.Burst)/l.PerSecond()*float64(time.Second)), longestRefill)
+}
+
 // RegionRate returns the part of a customer's rate that region may use. Without
 // region shares the rate is split evenly over regions, and tokens of the burst
 // that are left over go to the first regions by name. A region without a share
--- a/internal/process/granter/message.go
+++ b/internal/process/granter/message.go
@@ -22,6 +22,7 @@
 	Answered    uint64   `msgpack:"l"` // sequence of the last request whose answer was accepted
 	Want        int      `msgpack:"w"` // tokens asked for; 0 for a report only
 	Waiting     int      `msgpack:"u"` // of these, tokens for which a request is waiting
+	Ahead       int      `msgpack:"h"` // of these, tokens for a longer time, if the customer is well under its rate
 	Reports     []Report `msgpack:"p"`
 }
 
@@ -45,6 +46,8 @@
 	Lifetime   time.Duration `msgpack:"l"` // on the asker's clock from the sending of the request
 	RetryAfter time.Duration `msgpack:"r"` // when less was granted than wanted, the time until it is worth asking again
 	Level      int           `msgpack:"v"` // tokens left after the grant, as a hint
+	Ample      bool          `msgpack:"h"` // enough is left that reports of use can wait for the next request
+	Fresh      bool          `msgpack:"f"` // the owner began without the bucket's past; an empty bucket does not say that the customer is over its rate
 }
 
 // State is a bucket on its way from a ceding owner to the next one.
--- a/internal/process/leaser/leaser.go
+++ b/internal/process/leaser/leaser.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"sync"
 	"time"
@@ -22,10 +23,14 @@
 	sweepInterval = time.Second
 )
 
+// ErrNotOwner is the cause of an error of an Asker whose peer answered that it is
+// not the owner or does not act.
+var ErrNotOwner = errors.New("the peer is not the owner or does not act")
+
 // Asker sends a request to the owner of a share.
 type Asker interface {
 	// Ask returns the owner's answer. The error says that no owner answered, or
-	// that the peer is not the owner or does not act.
+	// wraps ErrNotOwner.
 	Ask(ctx context.Context, request granter.Request) (granter.Answer, error)
 }
 
@@ -256,10 +261,14 @@
 			l.log.V(1).Info("owner did not grant", "step", stepDraw, "customer", request.Customer, "share", request.Share, "cause", err.Error())
 		}
 		l.change(request.Customer, func(now flow.Time, source drawer.Source) drawer.Effects {
-			if err != nil {
+			switch {
+			case err == nil:
+				return source.Answered(now, answer)
+			case errors.Is(err, ErrNotOwner):
+				return source.Misdirected(now, request.Share, request.Sequence)
+			default:
 				return source.Failed(now, request.Share, request.Sequence)
 			}
-			return source.Answered(now, answer)
 		})
 	})
 }
