--- a/internal/version/indexer/apply.go
+++ b/internal/version/indexer/apply.go
@@ -5,7 +5,6 @@
 package indexer
 
 import (
-	"encoding/hex"
 	"maps"
 	"slices"
 
@@ -27,9 +26,9 @@
 // edit is an Index in the making.
 type edit struct {
 	old       *Index
-	customers *tableEdit
-	keys      *tableEdit
-	rates     *tableEdit
+	customers *packedEdit
+	keys      *packedEdit
+	rates     *packedEdit
 	routes    *tableEdit
 
 	// Copies of the nodes that were touched.
@@ -68,9 +67,9 @@
 func (e *edit) index(revision flow.Revision) *Index {
 	return &Index{
 		revision:  revision,
-		customers: e.customers.table,
-		keys:      e.keys.table,
-		rates:     e.rates.table,
+		customers: e.customers.packedTable,
+		keys:      e.keys.packedTable,
+		rates:     e.rates.packedTable,
 		routes:    e.routes.table,
 		services:  e.serviceTable.table,
 		hosts:     e.hostTable.table,
@@ -106,11 +105,11 @@
 func (e *edit) remove(record flow.Record, revision flow.Revision) {
 	switch record := record.(type) {
 	case *flow.Customer:
-		e.customers.set(record.Name, nil)
+		e.customers.remove(record.Name, "")
 	case *flow.Key:
 		e.removeKey(record)
 	case *flow.Rate:
-		e.removeRate(record)
+		e.rates.remove(record.Customer, record.Name)
 	case *flow.Route:
 		e.setRoute(record.PathPrefix, record.Name, nil)
 	case *flow.Service:
@@ -131,11 +130,11 @@
 func (e *edit) add(record flow.Record, revision flow.Revision) {
 	switch record := record.(type) {
 	case *flow.Customer:
-		e.customers.set(record.Name, record)
+		e.customers.set(customerRow(record))
 	case *flow.Key:
 		e.addKey(record)
 	case *flow.Rate:
-		e.addRate(record)
+		e.rates.set(rateRow(record))
 	case *flow.Route:
 		e.setRoute(record.PathPrefix, record.Name, record)
 	case *flow.Service:
@@ -147,65 +146,33 @@
 		zone := e.zone(record.AvailabilityZone, revision)
 		zone.hosts = withName(zone.hosts, record.Name)
 	case *flow.BackendServer:
-		service, host := e.service(record.Service), e.host(record.Host)
-		service.servers = withServer(service.servers, record)
-		host.servers = withServer(host.servers, record)
+		e.addServer(record)
 	}
 }
 
 // -----------------------------------------------------------------------------
 
 func (e *edit) removeKey(key *flow.Key) {
-	hash, ok := hashOf(key)
-	if !ok {
-		return
-	}
-	chain, _ := e.keys.get(hash).(*keyNode)
-	if chain = chain.without(key.Name); chain == nil {
-		e.keys.set(hash, nil)
-		return
+	if row, ok := keyRow(key); ok {
+		e.keys.remove(row.key, row.name)
 	}
-	e.keys.set(hash, chain)
 }
 
 func (e *edit) addKey(key *flow.Key) {
-	hash, ok := hashOf(key)
-	if !ok {
-		return
-	}
-	chain, _ := e.keys.get(hash).(*keyNode)
-	e.keys.set(hash, chain.with(&keyNode{name: key.Name, customer: e.customerName(key.Customer), withdrawn: key.Withdrawn}))
-}
-
-// hashOf returns the hash of a key as bytes.
-func hashOf(key *flow.Key) (string, bool) {
-	hash, err := hex.DecodeString(key.Hash)
-	return string(hash), err == nil
-}
-
-func (e *edit) removeRate(rate *flow.Rate) {
-	chain, _ := e.rates.get(rate.Customer).(*rateNode)
-	if chain = chain.without(rate.Name); chain == nil {
-		e.rates.set(rate.Customer, nil)
-		return
+	if row, ok := keyRow(key); ok {
+		e.keys.set(row)
 	}
-	e.rates.set(rate.Customer, chain)
-}
-
-func (e *edit) addRate(rate *flow.Rate) {
-	node := &rateNode{rate: *rate}
-	node.rate.Customer = e.customerName(rate.Customer)
-	chain, _ := e.rates.get(rate.Customer).(*rateNode)
-	e.rates.set(node.rate.Customer, chain.with(node))
 }
 
-// customerName returns the same name, sharing its memory with the record of
-// the customer if there is one.
-func (e *edit) customerName(name string) string {
-	if customer, ok := e.customers.get(name).(*flow.Customer); ok {
-		return customer.Name
-	}
-	return name
+// addServer adds a copy of a backend server that shares the names of its service
+// and its host with the others there.
+func (e *edit) addServer(record *flow.BackendServer) {
+	service, host := e.service(record.Service), e.host(record.Host)
+	server := *record
+	server.Service = service.sharedName(record.Service)
+	server.Host = host.sharedName(record.Host)
+	service.servers = withServer(service.servers, &server)
+	host.servers = withServer(host.servers, &server)
 }
 
 // setRoute replaces the route of a name within a prefix; nil removes it.
@@ -312,9 +279,6 @@
 		}
 		e.hostTable.set(name, node)
 	}
-	for _, node := range e.hosts {
-		node.entries = e.entries(node.servers)
-	}
 }
 
 func (e *edit) storeServices() {
--- a/internal/version/indexer/index.go
+++ b/internal/version/indexer/index.go
@@ -13,13 +13,13 @@
 // by many goroutines.
 type Index struct {
 	revision  flow.Revision
-	customers table // *flow.Customer by name
-	keys      table // *keyNode by hash
-	rates     table // *rateNode by customer
-	routes    table // []*flow.Route by path prefix, sorted by name
-	services  table // *serviceNode by name
-	hosts     table // *hostNode by name
-	zones     table // *zoneNode by name
+	customers packedTable // by name
+	keys      packedTable // by hash
+	rates     packedTable // by customer
+	routes    table       // []*flow.Route by path prefix, sorted by name
+	services  table       // *serviceNode by name
+	hosts     table       // *hostNode by name
+	zones     table       // *zoneNode by name
 	members   map[string]MemberList
 }
 
@@ -64,13 +64,10 @@
 // Empty returns the Index of revision 0, which holds nothing.
 func Empty() *Index {
 	return &Index{
-		customers: newTable(manyShards),
-		keys:      newTable(manyShards),
-		rates:     newTable(manyShards),
-		routes:    newTable(someShards),
-		services:  newTable(someShards),
-		hosts:     newTable(someShards),
-		zones:     newTable(oneShard),
+		routes:   newTable(someShards),
+		services: newTable(someShards),
+		hosts:    newTable(someShards),
+		zones:    newTable(oneShard),
 	}
 }
 
@@ -83,32 +80,58 @@
 // Nor is one whose hash several records hold, when one of them is withdrawn or
 // they name different customers.
 func (x *Index) KeyByHash(hash [32]byte) (KeyEntry, bool) {
-	first, _ := x.keys.get(string(hash[:])).(*keyNode)
-	if first == nil {
+	first, rest, found := x.keys.find(string(hash[:]))
+	if !found || first.rest[:1] == keyWithdrawn {
 		return KeyEntry{}, false
 	}
-	for node := first; node != nil; node = node.next {
-		if node.withdrawn || node.customer != first.customer {
+	for rest != "" {
+		var row packedRow
+		row, rest = nextRow(rest)
+		if row.key != first.key {
+			break
+		}
+		if row.rest != first.rest {
 			return KeyEntry{}, false
 		}
 	}
-	return KeyEntry{Name: first.name, Customer: first.customer}, true
+	return KeyEntry{Name: first.name, Customer: first.rest[1:]}, true
 }
 
-// Customer returns the record of a customer.
+// Customer returns the record of a customer. It is small enough to be inlined,
+// so that a caller that keeps the record to itself has it on its stack.
 func (x *Index) Customer(name string) (*flow.Customer, bool) {
-	customer, ok := x.customers.get(name).(*flow.Customer)
-	return customer, ok
+	customer := new(flow.Customer)
+	if !x.readCustomer(name, customer) {
+		return nil, false
+	}
+	return customer, true
+}
+
+// readCustomer is kept out of Customer, which it would make too large.
+//
+//go:noinline
+func (x *Index) readCustomer(name string, customer *flow.Customer) bool {
+	row, _, found := x.customers.find(name)
+	customer.Name, customer.Description = row.key, row.rest
+	return found
 }
 
 // RateOf returns the rate of a customer. Of several it returns the one whose
-// name sorts first.
+// name sorts first. It is small enough to be inlined, as Customer is.
 func (x *Index) RateOf(customer string) (*flow.Rate, bool) {
-	node, ok := x.rates.get(customer).(*rateNode)
-	if !ok {
+	rate := new(flow.Rate)
+	if !x.readRate(customer, rate) {
 		return nil, false
 	}
-	return &node.rate, true
+	return rate, true
+}
+
+func (x *Index) readRate(customer string, rate *flow.Rate) bool {
+	row, _, found := x.rates.find(customer)
+	if found {
+		row.readRate(rate)
+	}
+	return found
 }
 
 // Service returns the record of a service.
@@ -136,10 +159,18 @@
 // the host and its availability zone.
 func (x *Index) ServersOfHost(host string) []ServerEntry {
 	node, ok := x.hosts.get(host).(*hostNode)
+	if !ok || node.record == nil {
+		return nil
+	}
+	zone, ok := x.Zone(node.record.AvailabilityZone)
 	if !ok {
 		return nil
 	}
-	return node.entries
+	entries := make([]ServerEntry, len(node.servers))
+	for i, server := range node.servers {
+		entries[i] = ServerEntry{Server: server, Host: node.record, Zone: zone}
+	}
+	return entries
 }
 
 // Host returns the record of a host.
--- a/internal/version/indexer/index_test.go
+++ b/internal/version/indexer/index_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -189,3 +191,52 @@
 	index = index.Apply([]merger.Change{put(21, nil, host("h1", "z1", flow.MemberLive)), put(22, nil, zone("z1", "r", flow.ZoneIn))}, 22)
 	is.Equal(serverNames(index.ServersOfHost("h1")), []string{"s3"})
 }
+
+// Rows of one bucket don't disturb each other, and an older index keeps its own.
+func TestManyRows(t *testing.T) {
+	is := is.New(t)
+	const count = 40000
+	rate := func(i, burst int) *flow.Rate {
+		customer := fmt.Sprint("c", i)
+		return &flow.Rate{Name: "of-" + customer, Customer: customer, PerSecond: float64(i) / 7, Burst: burst}
+	}
+	var puts, edits []merger.Change
+	for i := range count {
+		puts = append(puts, put(1, nil, rate(i, i)))
+		switch i % 5 {
+		case 1:
+			edits = append(edits, drop(2, rate(i, i)))
+		case 2:
+			edits = append(edits, put(2, rate(i, i), rate(i, -1)))
+		}
+	}
+	before := indexer.Empty().Apply(puts, 1)
+	after := before.Apply(edits, 2)
+	for i := range count {
+		customer := fmt.Sprint("c", i)
+		old, _ := before.RateOf(customer)
+		is.Equal(*old, *rate(i, i))
+		current, found := after.RateOf(customer)
+		is.Equal(found, i%5 != 1)
+		switch {
+		case i%5 == 2:
+			is.Equal(*current, *rate(i, -1))
+		case found:
+			is.Equal(*current, *old)
+		}
+	}
+}
+
+func TestRowsAreKeptExactly(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("long", 5000)
+	customer := &flow.Customer{Name: long, Description: "d" + long}
+	rate := &flow.Rate{Name: "r" + long, Customer: long, PerSecond: 0.1, Burst: 1 << 40, RegionShares: map[string]float64{"a": 0.25, "b": 1. / 3}}
+	index := indexer.Empty().Apply([]merger.Change{put(1, nil, customer), put(1, nil, rate), put(1, nil, key("k"+long, long, "secret"))}, 1)
+	gotCustomer, _ := index.Customer(long)
+	is.Equal(gotCustomer, customer)
+	gotRate, _ := index.RateOf(long)
+	is.Equal(gotRate, rate)
+	entry, _ := index.KeyByHash(hashOf("secret"))
+	is.Equal(entry, indexer.KeyEntry{Name: "k" + long, Customer: long})
+}
--- a/internal/version/indexer/node.go
+++ b/internal/version/indexer/node.go
@@ -1,7 +1,6 @@
 // The nodes of the tables. A node is never changed once an Index holds it.
-// Records that should stand once and stand several times are kept in chains or
-// lists sorted by name, so that what is found doesn't depend on the order of
-// their arrival.
+// Lists are sorted by name, so that what is found doesn't depend on the order in
+// which records arrive.
 
 package indexer
 
@@ -12,62 +11,6 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
-// keyNode is one of the keys with one hash.
-type keyNode struct {
-	name      string
-	customer  string
-	withdrawn bool
-	next      *keyNode
-}
-
-// with returns the chain with another key.
-func (n *keyNode) with(added *keyNode) *keyNode {
-	if n == nil || added.name < n.name {
-		added.next = n
-		return added
-	}
-	return &keyNode{name: n.name, customer: n.customer, withdrawn: n.withdrawn, next: n.next.with(added)}
-}
-
-// without returns the chain without the key of a name.
-func (n *keyNode) without(name string) *keyNode {
-	switch {
-	case n == nil:
-		return nil
-	case n.name == name:
-		return n.next
-	}
-	return &keyNode{name: n.name, customer: n.customer, withdrawn: n.withdrawn, next: n.next.without(name)}
-}
-
-// rateNode is one of the rates of one customer.
-type rateNode struct {
-	rate flow.Rate
-	next *rateNode
-}
-
-// with returns the chain with another rate.
-func (n *rateNode) with(added *rateNode) *rateNode {
-	if n == nil || added.rate.Name < n.rate.Name {
-		added.next = n
-		return added
-	}
-	return &rateNode{rate: n.rate, next: n.next.with(added)}
-}
-
-// without returns the chain without the rate of a name.
-func (n *rateNode) without(name string) *rateNode {
-	switch {
-	case n == nil:
-		return nil
-	case n.rate.Name == name:
-		return n.next
-	}
-	return &rateNode{rate: n.rate, next: n.next.without(name)}
-}
-
-// -----------------------------------------------------------------------------
-
 // serviceNode is a service with all backend servers that name it.
 type serviceNode struct {
 	record  *flow.Service // nil when there is none
@@ -79,7 +22,6 @@
 type hostNode struct {
 	record  *flow.Host // nil when there is none
 	servers []*flow.BackendServer
-	entries []ServerEntry
 }
 
 // zoneNode is an availability zone with the names of all hosts that name it.
@@ -88,6 +30,29 @@
 	hosts  []string               // sorted
 }
 
+// sharedName returns the name of the service in memory that the node keeps, or
+// name when it keeps none.
+func (n *serviceNode) sharedName(name string) string {
+	switch {
+	case n.record != nil:
+		return n.record.Name
+	case len(n.servers) > 0:
+		return n.servers[0].Service
+	}
+	return name
+}
+
+// sharedName returns the name of the host likewise.
+func (n *hostNode) sharedName(name string) string {
+	switch {
+	case n.record != nil:
+		return n.record.Name
+	case len(n.servers) > 0:
+		return n.servers[0].Host
+	}
+	return name
+}
+
 func (n *serviceNode) empty() bool { return n.record == nil && len(n.servers) == 0 }
 
 func (n *hostNode) empty() bool { return n.record == nil && len(n.servers) == 0 }
--- a/internal/version/indexer/table.go
+++ b/internal/version/indexer/table.go
@@ -7,9 +7,8 @@
 
 // The numbers of shards of tables.
 const (
-	manyShards = 1024 // for customers, keys and rates
-	someShards = 64   // for hosts, services and routes
-	oneShard   = 1    // for availability zones
+	someShards = 64 // for hosts, services and routes
+	oneShard   = 1  // for availability zones
 )
 
 // table holds nodes of one type; the methods of Index know which.
--- a/internal/version/merger/merger.go
+++ b/internal/version/merger/merger.go
@@ -14,7 +14,7 @@
 const TombstoneLimit = 32768
 
 // kindLimit is the number of kinds that a Merger tells apart.
-const kindLimit = 1 << 16
+const kindLimit = kindMask + 1
 
 // entryOverhead is what an entry of a delta takes besides names and bodies, in
 // bytes.
@@ -25,10 +25,9 @@
 type Merger struct {
 	kinds          []flow.Kind
 	kindNumbers    map[flow.Kind]uint16
-	names          []map[string]*entry // by kind
-	faults         map[*entry]*fault
+	records        records
+	faults         map[recordNumber]*fault
 	order          order
-	records        int // entries, tombstones among them
 	tombstones     int
 	tombstoneLimit int
 
@@ -40,11 +39,13 @@
 
 // New returns an empty Merger that keeps up to tombstoneLimit tombstones.
 func New(tombstoneLimit int) *Merger {
-	return &Merger{
+	m := &Merger{
 		kindNumbers:    make(map[flow.Kind]uint16),
-		faults:         make(map[*entry]*fault),
+		faults:         make(map[recordNumber]*fault),
 		tombstoneLimit: tombstoneLimit,
 	}
+	m.order.records = &m.records
+	return m
 }
 
 // Applied returns the revision up to which the store is complete.
@@ -57,15 +58,15 @@
 func (m *Merger) Heard(revision flow.Revision) { m.highest = max(m.highest, revision) }
 
 // Len returns the number of records held, tombstones not among them.
-func (m *Merger) Len() int { return m.records - m.tombstones }
+func (m *Merger) Len() int { return m.records.count - m.tombstones }
 
 // Raw returns the latest version of a record, and false when none is held.
 func (m *Merger) Raw(id flow.RecordID) (flow.RawRecord, bool) {
-	e := m.find(id)
-	if e == nil {
+	number := m.find(id)
+	if number == noRecord {
 		return flow.RawRecord{}, false
 	}
-	return m.raw(e, version{revision: e.revision, deleted: e.deleted, body: e.body}), true
+	return raw(id, m.latest(number)), true
 }
 
 // FaultCount returns the number of records whose latest version is bad.
@@ -75,13 +76,18 @@
 // the highest revisions first.
 func (m *Merger) Faults(limit int) []Fault {
 	faults := make([]Fault, 0, len(m.faults))
-	for e, held := range m.faults {
-		id := flow.RecordID{Kind: m.kinds[e.kind], Name: e.name}
+	for number, held := range m.faults {
 		good := held.good.revision
 		if held.good.deleted {
 			good = 0
 		}
-		faults = append(faults, Fault{ID: id, Revision: e.revision, GoodRevision: good, Problem: held.problem, Since: held.since})
+		faults = append(faults, Fault{
+			ID:           m.idOf(number),
+			Revision:     m.records.at(number).revision,
+			GoodRevision: good,
+			Problem:      held.problem,
+			Since:        held.since,
+		})
 	}
 	sort.Slice(faults, func(i, j int) bool {
 		if faults[i].Revision != faults[j].Revision {
@@ -113,64 +119,62 @@
 	if accepted {
 		changes = append(changes, m.advance(delta)...)
 	}
-	m.order.compact(m.records)
+	m.order.compact()
+	m.records.reclaim()
 	return changes
 }
 
 // mergeEntry takes one entry in. Present marks the record as one that the full
 // sequence under way holds.
 func (m *Merger) mergeEntry(now flow.Time, item Entry, present bool) (Change, bool) {
-	e := m.findOrAdd(item.Latest)
-	if e == nil {
+	number := m.findOrAdd(item.Latest)
+	if number == noRecord {
 		return Change{}, false
 	}
 	if present {
-		e.sequence = m.sequence.number
+		m.records.at(number).sequence = m.sequence.number
 	}
-	before := m.inForce(e)
-	record := m.take(now, e, item.Latest)
+	before := m.inForce(number)
+	current := m.take(now, number, item.Latest)
 	if item.Good != nil && item.Good.ID() == item.Latest.ID() {
-		if good := m.take(now, e, *item.Good); good != nil {
-			record = good
+		if good := m.take(now, number, *item.Good); good != nil {
+			current = good
 		}
 	}
-	after := m.inForce(e)
+	after := m.inForce(number)
 	if after.revision == before.revision {
 		return Change{}, false
 	}
-	old := m.record(e, before)
+	old := record(item.Latest.ID(), before)
 	if after.deleted {
-		record = nil
+		current = nil
 	}
-	return Change{ID: item.Latest.ID(), Revision: after.revision, Old: old, New: record}, true
+	return Change{ID: item.Latest.ID(), Revision: after.revision, Old: old, New: current}, true
 }
 
-// findOrAdd returns the entry of a record, or nil when there shall be none: a
-// record that is not held, and whose revision is one up to which the store is
-// complete, was deleted since.
-func (m *Merger) findOrAdd(raw flow.RawRecord) *entry {
-	if e := m.find(raw.ID()); e != nil {
-		return e
+// findOrAdd returns the number of a record, or noRecord when there shall be no
+// entry: a record that is not held, and whose revision is one up to which the
+// store is complete, was deleted since.
+func (m *Merger) findOrAdd(raw flow.RawRecord) recordNumber {
+	if number := m.find(raw.ID()); number != noRecord {
+		return number
 	}
 	if raw.Revision <= m.applied || raw.Kind == "" || raw.Name == "" {
-		return nil
+		return noRecord
 	}
 	kind, ok := m.kindNumber(raw.Kind)
 	if !ok {
-		return nil
+		return noRecord
 	}
-	e := &entry{name: strings.Clone(raw.Name), kind: kind}
-	m.names[kind][e.name] = e
-	m.records++
-	return e
+	return m.records.add(kind, raw.Name)
 }
 
-func (m *Merger) find(id flow.RecordID) *entry {
+func (m *Merger) find(id flow.RecordID) recordNumber {
 	kind, ok := m.kindNumbers[id.Kind]
 	if !ok {
-		return nil
+		return noRecord
 	}
-	return m.names[kind][id.Name]
+	return m.records.find(kind, id.Name)
 }
 
 // kindNumber returns the number of a kind, known to this program or not.
@@ -184,18 +188,17 @@
 	}
 	number = uint16(len(m.kinds))
 	m.kinds = append(m.kinds, flow.Kind(strings.Clone(string(kind))))
-	m.names = append(m.names, make(map[string]*entry))
 	m.kindNumbers[m.kinds[number]] = number
 	return number, true
 }
 
 // remove forgets a record altogether.
-func (m *Merger) remove(e *entry) {
-	m.countTombstone(e.deleted, false)
-	delete(m.names[e.kind], e.name)
-	delete(m.faults, e)
-	e.revision = 0
-	m.records--
+func (m *Merger) remove(number recordNumber) {
+	e := m.records.at(number)
+	m.countTombstone(e.deleted(), false)
+	delete(m.faults, number)
+	m.order.remove(e)
+	m.records.remove(number)
 }
 
 // -----------------------------------------------------------------------------
@@ -220,13 +223,17 @@
 	if m.tombstones <= m.tombstoneLimit+m.tombstoneLimit/tombstoneSlack {
 		return
 	}
-	for _, item := range m.order.sorted() {
-		if m.tombstones <= m.tombstoneLimit || item.revision > m.applied {
+	for _, number := range m.order.sorted() {
+		if number == noRecord {
+			continue
+		}
+		e := m.records.at(number)
+		if m.tombstones <= m.tombstoneLimit || e.revision > m.applied {
 			return
 		}
-		if !item.stale() && item.entry.deleted {
-			m.horizon = item.revision
-			m.remove(item.entry)
+		if e.deleted() {
+			m.horizon = e.revision
+			m.remove(number)
 		}
 	}
 }
@@ -245,31 +252,33 @@
 		delta.From, delta.Cursor, delta.Full = 0, 0, true
 	}
 	size := 0
-	for _, item := range m.order.after(delta.From) {
-		if item.stale() {
+	for _, number := range m.order.after(delta.From) {
+		if number == noRecord {
 			continue
 		}
-		if size >= limitBytes && len(delta.Entries) > 0 && item.revision > delta.Cursor {
+		revision := m.records.at(number).revision
+		if size >= limitBytes && len(delta.Entries) > 0 && revision > delta.Cursor {
 			return delta
 		}
-		entry := m.entryOf(item.entry)
-		size += sizeOf(entry)
-		delta.Entries = append(delta.Entries, entry)
-		delta.Cursor = item.revision
+		item := m.entryOf(number)
+		size += sizeOf(item)
+		delta.Entries = append(delta.Entries, item)
+		delta.Cursor = revision
 	}
 	delta.Last = true
 	return delta
 }
 
 // entryOf returns what a peer is told of a record.
-func (m *Merger) entryOf(e *entry) Entry {
-	item := Entry{Latest: m.raw(e, version{revision: e.revision, deleted: e.deleted, body: e.body})}
-	if !e.faulty {
+func (m *Merger) entryOf(number recordNumber) Entry {
+	id := m.idOf(number)
+	item := Entry{Latest: raw(id, m.latest(number))}
+	if !m.records.at(number).faulty() {
 		return item
 	}
-	if good := m.faults[e].good; good.revision > 0 {
-		raw := m.raw(e, good)
-		item.Good = &raw
+	if good := m.faults[number].good; good.revision > 0 {
+		good := raw(id, good)
+		item.Good = &good
 	}
 	return item
 }
--- a/internal/version/merger/order.go
+++ b/internal/version/merger/order.go
@@ -1,6 +1,6 @@
 // The order of the records by the revision of their latest version. It is a
-// sorted list that changes append to; an item is stale once its record has a
-// later revision, and stale items are removed in bulk.
+// sorted list of their numbers that changes append to. Where a record stood
+// before, a gap remains; gaps are closed in bulk.
 
 package merger
 
@@ -12,50 +12,85 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
-// staleSlack is the number of stale items that are always tolerated.
-const staleSlack = 1024
+const (
+	// gapShare is the share of the records that the gaps may reach.
+	gapShare = 4
+	// gapSlack is the number of gaps that are always tolerated.
+	gapSlack = 1024
+)
 
 type order struct {
-	items    []orderItem
+	records  *records
+	items    []recordNumber // noRecord for a gap
+	gaps     int
 	unsorted bool
 	newest   flow.Revision // the highest revision that was ever added
 }
 
-type orderItem struct {
-	revision flow.Revision
-	entry    *entry
-}
-
-func (i orderItem) stale() bool { return i.entry.revision != i.revision }
-
-// add notes the current revision of an entry.
-func (o *order) add(e *entry) {
+// add appends a record that is not in the order.
+func (o *order) add(number recordNumber, e *entry) {
 	if e.revision < o.newest {
 		o.unsorted = true
 	}
 	o.newest = max(o.newest, e.revision)
-	o.items = append(o.items, orderItem{revision: e.revision, entry: e})
+	e.position = uint32(len(o.items))
+	o.items = append(o.items, number)
+}
+
+// remove leaves a gap in place of a record; one of revision 0 is not there.
+func (o *order) remove(e *entry) {
+	if e.revision > 0 {
+		o.items[e.position] = noRecord
+		o.gaps++
+	}
+}
+
+// compact closes the gaps when there are many.
+func (o *order) compact() {
+	if o.gaps > o.records.count/gapShare+gapSlack {
+		o.close()
+	}
+}
+
+func (o *order) close() {
+	o.items = slices.DeleteFunc(o.items, func(number recordNumber) bool { return number == noRecord })
+	o.gaps = 0
+	o.renumber()
 }
 
-// compact removes the stale items when they outnumber the records.
-func (o *order) compact(records int) {
-	if len(o.items) > 2*records+staleSlack {
-		o.items = slices.DeleteFunc(o.items, orderItem.stale)
+func (o *order) renumber() {
+	for i, number := range o.items {
+		o.records.at(number).position = uint32(i)
 	}
 }
 
-// sorted returns all items in order, stale ones among them.
-func (o *order) sorted() []orderItem {
+// sorted returns all items in order, gaps among them.
+func (o *order) sorted() []recordNumber {
 	if o.unsorted {
-		slices.SortFunc(o.items, func(a, b orderItem) int { return cmp.Compare(a.revision, b.revision) })
+		o.close()
+		slices.SortFunc(o.items, func(a, b recordNumber) int { return cmp.Compare(o.revision(a), o.revision(b)) })
+		o.renumber()
 		o.unsorted = false
 	}
 	return o.items
 }
 
-// after returns the items with a revision above from.
-func (o *order) after(from flow.Revision) []orderItem {
+func (o *order) revision(number recordNumber) flow.Revision { return o.records.at(number).revision }
+
+// after returns the items with a revision above from, gaps among them.
+func (o *order) after(from flow.Revision) []recordNumber {
 	items := o.sorted()
-	first := sort.Search(len(items), func(i int) bool { return items[i].revision > from })
+	first := sort.Search(len(items), func(i int) bool { return o.above(items[i:], from) })
 	return items[first:]
 }
+
+// above reports whether the first record of items has a revision above from;
+// it has when there is none.
+func (o *order) above(items []recordNumber, from flow.Revision) bool {
+	for _, number := range items {
+		if number != noRecord {
+			return o.revision(number) > from
+		}
+	}
+	return true
+}
--- a/internal/version/merger/sequence.go
+++ b/internal/version/merger/sequence.go
@@ -122,16 +122,15 @@
 // dropAbsent drops every record that the full sequence up to to does not hold.
 func (m *Merger) dropAbsent(to flow.Revision) []Change {
 	var changes []Change
-	for _, names := range m.names {
-		for _, e := range names {
-			if e.sequence == m.sequence.number || e.revision > to {
-				continue
-			}
-			if old := m.record(e, m.inForce(e)); old != nil {
-				changes = append(changes, Change{ID: old.ID(), Revision: to, Old: old})
-			}
-			m.remove(e)
+	for number := noRecord + 1; number <= m.records.last; number++ {
+		e := m.records.at(number)
+		if e.revision == 0 || e.sequence == m.sequence.number || e.revision > to {
+			continue
 		}
+		if old := record(m.idOf(number), m.inForce(number)); old != nil {
+			changes = append(changes, Change{ID: old.ID(), Revision: to, Old: old})
+		}
+		m.remove(number)
 	}
 	return changes
 }
