--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -158,9 +158,20 @@
 }
 
 // logFailure logs why a connection was refused or closed, unless many were of
-// late.
+// late for the same cause.
 func (l *Listener) logFailure(err error, step, peer string) {
-	if passed, ok := l.failures.Allow(time.Now()); ok {
+	if passed, ok := l.failures.Allow(time.Now(), step+": "+causeOf(err)); ok {
 		l.Log.Error(err, "control connection closed", "step", step, "peer", peer, "passed-over", passed)
 	}
 }
+
+// causeOf is the text of the innermost error, without the peer.
+func causeOf(err error) string {
+	if messenger.Error.Has(err) {
+		return "malformed message" // its text may be anything
+	}
+	for inner := errors.Unwrap(err); inner != nil; inner = errors.Unwrap(err) {
+		err = inner
+	}
+	return err.Error()
+}
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -31,15 +31,30 @@
 	Registry  metrics.Registry
 	customers *names
 	routes    *names
+
+	mu         sync.RWMutex
+	counters   map[series]metrics.Counter
+	histograms map[series]metrics.Histogram
+}
+
+// series are the name and the labels of a metric, by which it is found without
+// putting together its name in the registry.
+type series struct {
+	name          string
+	first, second label // second is empty when there is one label only
 }
 
+type label struct{ name, value string }
+
 // NewMetrics returns Metrics that give at most so many customers metrics of
 // their own.
 func NewMetrics(customers int) *Metrics {
 	return &Metrics{
-		Registry:  metrics.NewRegistry(),
-		customers: newNames(customers),
-		routes:    newNames(routesLimit),
+		Registry:   metrics.NewRegistry(),
+		customers:  newNames(customers),
+		routes:     newNames(routesLimit),
+		counters:   map[series]metrics.Counter{},
+		histograms: map[series]metrics.Histogram{},
 	}
 }
 
@@ -50,10 +65,10 @@
 		outcome = string(reason)
 	}
 	name := m.customers.bounded(customer)
-	m.count("requests", "customer", name, "outcome", outcome)
-	m.time("request-latency-ms", took, "customer", name)
+	m.count(series{"requests", label{"customer", name}, label{"outcome", outcome}})
+	m.time(series{name: "request-latency-ms", first: label{"customer", name}}, took)
 	if route != "" {
-		m.time("route-latency-ms", took, "route", m.routes.bounded(route))
+		m.time(series{name: "route-latency-ms", first: label{"route", m.routes.bounded(route)}}, took)
 	}
 }
 
@@ -63,9 +78,9 @@
 	if reason != "" {
 		outcome = string(reason)
 	}
-	m.count("admissions", "server", server, "outcome", outcome)
+	m.count(series{"admissions", label{"server", server}, label{"outcome", outcome}})
 	if reason == "" {
-		m.time("server-latency-ms", took, "server", server)
+		m.time(series{name: "server-latency-ms", first: label{"server", server}}, took)
 	}
 }
 
@@ -75,7 +90,7 @@
 	if err != nil {
 		result = "failed"
 	}
-	m.count("calls", "call", call, "result", result)
+	m.count(series{"calls", label{"call", call}, label{"result", result}})
 }
 
 // -----------------------------------------------------------------------------
@@ -118,19 +133,54 @@
 	return name
 }
 
-func (m *Metrics) count(name string, labels ...string) {
-	metrics.GetOrRegisterCounter(labelled(name, labels), m.Registry).Inc(1)
+func (m *Metrics) count(of series) {
+	m.mu.RLock()
+	counter, ok := m.counters[of]
+	m.mu.RUnlock()
+	if !ok {
+		counter = m.addCounter(of)
+	}
+	counter.Inc(1)
+}
+
+func (m *Metrics) addCounter(of series) metrics.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counter := metrics.GetOrRegisterCounter(of.String(), m.Registry)
+	m.counters[of] = counter
+	return counter
 }
 
-func (m *Metrics) time(name string, took time.Duration, labels ...string) {
-	full := labelled(name, labels)
-	histogram, ok := m.Registry.Get(full).(metrics.Histogram)
+func (m *Metrics) time(of series, took time.Duration) {
+	m.mu.RLock()
+	histogram, ok := m.histograms[of]
+	m.mu.RUnlock()
 	if !ok {
-		histogram = metrics.GetOrRegisterHistogram(full, m.Registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
+		histogram = m.addHistogram(of)
 	}
 	histogram.Update(took.Milliseconds())
 }
 
+func (m *Metrics) addHistogram(of series) metrics.Histogram {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known, ok := m.histograms[of]; ok {
+		return known
+	}
+	histogram := metrics.GetOrRegisterHistogram(of.String(), m.Registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	m.histograms[of] = histogram
+	return histogram
+}
+
+// String returns the name of a metric in the registry.
+func (s series) String() string {
+	labels := []string{s.first.name, s.first.value}
+	if s.second.name != "" {
+		labels = append(labels, s.second.name, s.second.value)
+	}
+	return labelled(s.name, labels)
+}
+
 func (m *Metrics) gauge(name string, value float64, labels ...string) {
 	metrics.GetOrRegisterGaugeFloat64(labelled(name, labels), m.Registry).Update(value)
 }
--- a/internal/request/acceptor/acceptor.go
+++ b/internal/request/acceptor/acceptor.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/subtle"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +22,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/process/registrar"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/sender"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/answerer"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/permitter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -91,7 +91,7 @@
 	permit, refusal := a.checkPermit(r)
 	if refusal != nil {
 		a.Observer.Admitted(unknownServer, refusal.Reason, 0)
-		if passed, ok := a.strangers.Allow(time.Now()); ok {
+		if passed, ok := a.strangers.Allow(time.Now(), refusal.Detail); ok {
 			a.Log.Info("forwarded request refused", "step", string(refusal.Step), "peer", r.RemoteAddr, "cause", refusal.Detail, "passed-over", passed)
 		}
 		answerer.WriteRefusal(w, "", refusal)
@@ -156,7 +156,7 @@
 	if in.permit.Incarnation != a.Incarnation {
 		return a.refusal(flow.ReasonPermitInvalid, stepPermit, "the permit is for an earlier process")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.request.Body, int64(a.BodyLimit)))
+	body, err := composer.ReadBody(w, in.request, a.BodyLimit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/request/acceptor/sending.go
+++ b/internal/request/acceptor/sending.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -72,7 +73,7 @@
 
 // outgoing makes the request for the backend server.
 func (a *Acceptor) outgoing(ctx context.Context, in *arrival) (*http.Request, error) {
-	header := in.request.Header.Clone()
+	header := maps.Clone(in.request.Header)
 	answerer.StripHop(header)
 	answerer.StripOwn(header)
 	id, _, _ := strings.Cut(in.permit.Attempt, "/")
--- a/internal/request/answerer/answerer.go
+++ b/internal/request/answerer/answerer.go
@@ -107,7 +107,7 @@
 	var content bytes.Buffer
 	answer.Length = response.ContentLength
 	if response.ContentLength > 0 && response.ContentLength <= int64(limit) {
-		content.Grow(int(response.ContentLength))
+		content.Grow(int(response.ContentLength) + bytes.MinRead) // the end is found by one more read
 	}
 	_, err := io.CopyN(&content, response.Body, int64(limit)+1)
 	answer.Content = content.Bytes()
--- a/internal/request/answerer/header.go
+++ b/internal/request/answerer/header.go
@@ -10,6 +10,7 @@
 )
 
 // hopHeaders belong to one connection (RFC 9110, sections 7.6.1 and 10.1.1).
+// Their names are in canonical form.
 var hopHeaders = []string{
 	"Connection",
 	"Expect",
@@ -23,18 +24,18 @@
 	"Upgrade",
 }
 
-// ownPrefix begins the names of coltsfootflow's own headers.
-const ownPrefix = "coltsfootflow-"
+// ownPrefix begins the names of coltsfootflow's own headers; a hyphen follows.
+const ownPrefix = "coltsfootflow"
 
 // StripHop removes the headers that belong to one connection.
 func StripHop(header http.Header) {
-	for _, value := range header.Values("Connection") {
+	for _, value := range header["Connection"] {
 		for _, name := range strings.Split(value, ",") {
 			header.Del(textproto.TrimString(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		header.Del(name)
+		delete(header, name)
 	}
 }
 
@@ -42,8 +43,16 @@
 // in the spelling with underscores that some servers take for the same.
 func StripOwn(header http.Header) {
 	for name := range header {
-		if strings.HasPrefix(strings.ToLower(strings.ReplaceAll(name, "_", "-")), ownPrefix) {
+		if isOwn(name) {
 			delete(header, name)
 		}
 	}
 }
+
+func isOwn(name string) bool {
+	if len(name) <= len(ownPrefix) || !strings.EqualFold(name[:len(ownPrefix)], ownPrefix) {
+		return false
+	}
+	next := name[len(ownPrefix)]
+	return next == '-' || next == '_'
+}
--- a/internal/request/composer/composer.go
+++ b/internal/request/composer/composer.go
@@ -14,46 +14,56 @@
 )
 
 // repeatHeaders are the headers by which a transport takes a request for
-// idempotent. It looks for these spellings only.
-var repeatHeaders = map[string]string{
-	"Idempotency-Key":   "idempotency-key",
-	"X-Idempotency-Key": "x-idempotency-key",
+// idempotent, and other spellings of them. It looks for these spellings only.
+var repeatHeaders = []struct{ canonical, other string }{
+	{"Idempotency-Key", "idempotency-key"},
+	{"X-Idempotency-Key", "x-idempotency-key"},
 }
 
+// noUserAgent keeps the transport from sending its own.
+var noUserAgent = []string{""}
+
+// unframed sends a body of unknown length as it is. The transport would look
+// into such a body first, in a goroutine of its own and with a timer.
+var unframed = []string{"identity"}
+
 // Compose returns a request with a body and with headers, which it takes over.
 // An empty host stands for that of the target.
 func Compose(ctx context.Context, method, target, host string, header http.Header, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, target, bodyOf(method, body))
+	request, err := http.NewRequestWithContext(ctx, method, target, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
 	request.ContentLength = int64(len(body))
 	request.Host = host
 	request.Header = header
-	for canonical, other := range repeatHeaders {
-		if values, ok := header[canonical]; ok {
-			delete(header, canonical)
-			header[other] = values
+	setBody(request, body)
+	for _, name := range repeatHeaders {
+		if values, ok := header[name.canonical]; ok {
+			delete(header, name.canonical)
+			header[name.other] = values
 		}
 	}
 	if header.Get("User-Agent") == "" {
-		header["User-Agent"] = []string{""} // keeps the transport from sending its own
+		header["User-Agent"] = noUserAgent
 	}
 	return request, nil
 }
 
-// bodyOf returns a body that cannot be read twice. An empty body of a method
-// that usually has one is sent with its length, which is 0.
-func bodyOf(method string, body []byte) io.Reader {
-	if len(body) > 0 {
-		return onceReader{bytes.NewReader(body)}
-	}
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return http.NoBody
+// setBody gives a request a body that cannot be read twice. An empty body of a
+// method that usually has one is sent with its length, which is 0; with other
+// methods nothing of it is sent, though the transport takes it for a body.
+//
+// The transport knows this kind of reader to be in memory, and sends head and
+// body in one piece.
+func setBody(request *http.Request, body []byte) {
+	if len(body) == 0 {
+		switch request.Method {
+		case http.MethodPost, http.MethodPut, http.MethodPatch:
+			return
+		}
+		request.TransferEncoding = unframed
 	}
-	return onceReader{bytes.NewReader(nil)}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.GetBody = nil
 }
-
-// onceReader hides every method of a reader but Read.
-type onceReader struct{ io.Reader }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -209,7 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
-	header := attempt.Header.Clone()
+	header := maps.Clone(attempt.Header)
 	header.Set(permitter.HeaderPermit, permit)
 	target := "http://" + attempt.Target.DataAddress + attempt.Request.URL.RequestURI()
 	return composer.Compose(ctx, attempt.Request.Method, target, attempt.Host, header, attempt.Body)
--- a/internal/request/permitter/permitter.go
+++ b/internal/request/permitter/permitter.go
@@ -12,9 +12,10 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"hash"
+	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -31,24 +32,31 @@
 	encodedLimit = 4096
 )
 
+// The purposes that are signed with a document, so that neither passes for the
+// other.
+const (
+	purposePermit  = "permit"
+	purposeVoucher = "voucher"
+)
+
 // Error is the class of errors of permits and vouchers.
 var Error = errs.Class("permit")
 
 // Permit is what the ingress established about a request before it forwarded
 // it to the daemon beside the chosen backend server.
 type Permit struct {
-	Attempt     string        `msgpack:"a"` // request id and number of the attempt
-	Sender      string        `msgpack:"f"` // host of the ingress
-	Incarnation uint64        `msgpack:"i"` // of the receiving process
-	NotAfter    flow.Time     `msgpack:"t"` // on the receiver's clock
-	Revision    flow.Revision `msgpack:"v"` // that the ingress applied
-	Server      string        `msgpack:"s"` // backend server
-	Route       string        `msgpack:"o"`
-	Customer    string        `msgpack:"c,omitempty"` // empty on open routes
-	KeyHash     []byte        `msgpack:"k,omitempty"` // SHA-256; empty on open routes
-	Target      []byte        `msgpack:"g"`           // TargetOf the request
-	Idempotent  bool          `msgpack:"d,omitempty"`
-	Timeout     time.Duration `msgpack:"l"` // time left for the answer, counted from arrival
+	Attempt     string        // request id and number of the attempt
+	Sender      string        // host of the ingress
+	Incarnation uint64        // of the receiving process
+	NotAfter    flow.Time     // on the receiver's clock
+	Revision    flow.Revision // that the ingress applied
+	Server      string        // backend server
+	Route       string
+	Customer    string // empty on open routes
+	KeyHash     []byte // SHA-256; empty on open routes
+	Target      []byte // TargetOf the request
+	Idempotent  bool
+	Timeout     time.Duration // time left for the answer, counted from arrival
 }
 
 // TargetOf returns a hash of a request's method and of its path and query.
@@ -59,35 +67,37 @@
 
 // Voucher is what the receiving daemon says with its answer.
 type Voucher struct {
-	Attempt     string      `msgpack:"a"`
-	Host        string      `msgpack:"h"`
-	Incarnation uint64      `msgpack:"i"`
-	Clock       flow.Time   `msgpack:"t"`           // the receiver's time when it answered
-	Load        float64     `msgpack:"l"`           // share of the backend server's limit in use
-	Refused     flow.Reason `msgpack:"r,omitempty"` // empty when the answer is the backend server's
-	Detail      string      `msgpack:"d,omitempty"`
+	Attempt     string
+	Host        string
+	Incarnation uint64
+	Clock       flow.Time   // the receiver's time when it answered
+	Load        float64     // share of the backend server's limit in use
+	Refused     flow.Reason // empty when the answer is the backend server's
+	Detail      string
 }
 
 // Permitter signs and checks with one secret. It is safe for use by many
 // goroutines.
 type Permitter struct {
-	secret []byte
+	signers sync.Pool // of *signer
 }
 
 // New returns a Permitter for the daemons' shared secret.
 func New(secret []byte) *Permitter {
-	return &Permitter{secret: secret}
+	p := &Permitter{}
+	p.signers.New = func() any { return &signer{codec: newCodec(), mac: hmac.New(sha256.New, secret)} }
+	return p
 }
 
 // SignPermit returns the header value of a permit.
 func (p *Permitter) SignPermit(permit *Permit) (string, error) {
-	return p.sign("permit", permit)
+	return p.sign(purposePermit, permit)
 }
 
 // CheckPermit returns the permit of a header value.
 func (p *Permitter) CheckPermit(value string) (*Permit, error) {
 	permit := &Permit{}
-	if err := p.check("permit", value, permit); err != nil {
+	if err := p.check(purposePermit, value, permit); err != nil {
 		return nil, err
 	}
 	return permit, nil
@@ -95,13 +105,13 @@
 
 // SignVoucher returns the header value of a voucher.
 func (p *Permitter) SignVoucher(voucher *Voucher) (string, error) {
-	return p.sign("voucher", voucher)
+	return p.sign(purposeVoucher, voucher)
 }
 
 // CheckVoucher returns the voucher of a header value.
 func (p *Permitter) CheckVoucher(value string) (*Voucher, error) {
 	voucher := &Voucher{}
-	if err := p.check("voucher", value, voucher); err != nil {
+	if err := p.check(purposeVoucher, value, voucher); err != nil {
 		return nil, err
 	}
 	return voucher, nil
@@ -109,15 +119,17 @@
 
 // -----------------------------------------------------------------------------
 
-func (p *Permitter) sign(purpose string, document any) (string, error) {
-	encoded, err := msgpack.Marshal(document)
+func (p *Permitter) sign(purpose string, signed document) (string, error) {
+	s := p.signers.Get().(*signer)
+	defer p.signers.Put(s)
+	encoded, err := s.codec.encode(signed)
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	return base64.RawURLEncoding.EncodeToString(append(encoded, p.tag(purpose, encoded)...)), nil
+	return base64.RawURLEncoding.EncodeToString(append(encoded, s.tag(purpose, encoded)...)), nil
 }
 
-func (p *Permitter) check(purpose, value string, document any) error {
+func (p *Permitter) check(purpose, value string, checked document) error {
 	if value == "" {
 		return Error.New("the %s is missing", purpose)
 	}
@@ -129,15 +141,28 @@
 		return Error.New("the %s is malformed", purpose)
 	}
 	encoded, tag := signed[:len(signed)-tagSize], signed[len(signed)-tagSize:]
-	if !hmac.Equal(tag, p.tag(purpose, encoded)) {
+	s := p.signers.Get().(*signer)
+	defer p.signers.Put(s)
+	if !hmac.Equal(tag, s.tag(purpose, encoded)) {
 		return Error.New("the %s is not signed with the shared secret", purpose)
 	}
-	return Error.Wrap(msgpack.Unmarshal(encoded, document))
+	return Error.Wrap(s.codec.decode(encoded, checked))
+}
+
+// signer holds what signing and checking use again. It is for one goroutine at
+// a time.
+type signer struct {
+	codec *codec
+	mac   hash.Hash
+	sum   []byte
 }
 
-func (p *Permitter) tag(purpose string, encoded []byte) []byte {
-	mac := hmac.New(sha256.New, p.secret)
-	_, _ = mac.Write([]byte(purpose))
-	_, _ = mac.Write(encoded)
-	return mac.Sum(nil)[:tagSize]
+// tag returns the truncated HMAC of a document. It holds until the next call.
+func (s *signer) tag(purpose string, encoded []byte) []byte {
+	s.mac.Reset()
+	s.sum = append(s.sum[:0], purpose...)
+	_, _ = s.mac.Write(s.sum)
+	_, _ = s.mac.Write(encoded)
+	s.sum = s.mac.Sum(s.sum[:0])
+	return s.sum[:tagSize]
 }
--- /dev/null
+++ b/internal/request/permitter/permitter_test.go
@@ -0,0 +1,96 @@
+package permitter_test
+
+import (
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/request/permitter"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const secret = "a secret for loopback only"
+
+var permits = map[string]permitter.Permit{
+	"whole": {
+		Attempt: "0197-id/1", Sender: "host-2", Incarnation: 1<<63 + 9, NotAfter: 123_456, Revision: 42, Server: "ledger-1",
+		Route: "ledger", Customer: "shop", KeyHash: []byte(strings.Repeat("k", 32)), Target: []byte("0123456789abcdef"),
+		Idempotent: true, Timeout: 5 * time.Second,
+	},
+	"open route":   {Attempt: "id/2", Incarnation: 7, NotAfter: -3, Target: []byte{0}, Timeout: -time.Millisecond},
+	"nothing said": {},
+}
+
+func TestPermitsAndVouchers(t *testing.T) {
+	is := is.New(t)
+	p := permitter.New([]byte(secret))
+	for name, permit := range permits {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			value, err := p.SignPermit(&permit)
+			is.NoErr(err)
+			checked, err := p.CheckPermit(value)
+			is.NoErr(err)
+			is.Equal(*checked, permit)
+		})
+	}
+	voucher := permitter.Voucher{Attempt: "id/1", Host: "host-1", Incarnation: 1<<63 + 9, Clock: 99, Load: 0.75, Refused: flow.ReasonNoCapacity, Detail: "full"}
+	value, err := p.SignVoucher(&voucher)
+	is.NoErr(err)
+	checked, err := p.CheckVoucher(value)
+	is.NoErr(err)
+	is.Equal(*checked, voucher)
+}
+
+// Values as daemons of earlier versions sign them: numbers are wider, and empty
+// fields left out.
+const (
+	earlierPermit  = "jKFhqTAxOTctaWQvMaFmpmhvc3QtMqFpz4AAAAAAAAAJoXTTAAAAAAAB4kChds8AAAAAAAAAKqFzqGxlZGdlci0xoW-mbGVkZ2VyoWOkc2hvcKFrxCBra2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra6FnxBAwMTIzNDU2Nzg5YWJjZGVmoWTDoWzTAAAAASoF8gCDv8lgDaEjO_CTysur2KR_"
+	earlierVoucher = "haFhpGlkLzGhaKZob3N0LTGhac8AAAAAAAAAB6F00wAAAAAAAABjoWzLP-gAAAAAAAB9wl7vCdIxLvPs1BrKNEp2"
+)
+
+func TestOfEarlierVersions(t *testing.T) {
+	is := is.New(t)
+	p := permitter.New([]byte(secret))
+	permit, err := p.CheckPermit(earlierPermit)
+	is.NoErr(err)
+	is.Equal(*permit, permits["whole"])
+	voucher, err := p.CheckVoucher(earlierVoucher)
+	is.NoErr(err)
+	is.Equal(*voucher, permitter.Voucher{Attempt: "id/1", Host: "host-1", Incarnation: 7, Clock: 99, Load: 0.75})
+}
+
+func TestRefusals(t *testing.T) {
+	p := permitter.New([]byte(secret))
+	permit := permits["whole"]
+	good, _ := p.SignPermit(&permit)
+	foreign, _ := permitter.New([]byte("another secret")).SignPermit(&permit)
+	voucher, _ := p.SignVoucher(&permitter.Voucher{Attempt: "0197-id/1"})
+	raw, _ := base64.RawURLEncoding.DecodeString(good)
+	cases := map[string]string{
+		"missing":        "",
+		"not base64":     "!" + good,
+		"short":          "AAAA",
+		"another secret": foreign,
+		"a voucher":      voucher,
+		"too long":       strings.Repeat("A", 5000),
+		"cut":            base64.RawURLEncoding.EncodeToString(raw[:len(raw)-1]),
+	}
+	for i := range raw {
+		altered := bytes.Clone(raw)
+		altered[i] ^= 1
+		cases[fmt.Sprintf("altered at %d", i)] = base64.RawURLEncoding.EncodeToString(altered)
+	}
+	for name, value := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := p.CheckPermit(value)
+			is.True(permitter.Error.Has(err))
+		})
+	}
+}
--- a/internal/request/receiver/authenticate.go
+++ b/internal/request/receiver/authenticate.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"maps"
 	"net/http"
 	"net/url"
 	"strings"
@@ -51,7 +52,7 @@
 	if what, found := keyInURL(call, keys); found {
 		return p.refuse(stepAuthenticate, flow.ReasonKeyInURL, "the URL "+what)
 	}
-	call.Header = call.Request.Header.Clone()
+	call.Header = maps.Clone(call.Request.Header)
 	stripKeys(call.Header, keys)
 	if !holdsAny([]string{call.Request.Host}, keys) {
 		call.Host = call.Request.Host
--- a/internal/request/receiver/body.go
+++ b/internal/request/receiver/body.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/go-kit/kit/endpoint"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -32,7 +32,7 @@
 	if call.Request.ContentLength > int64(p.BodyLimit) {
 		return p.refuse("read-body", flow.ReasonRequestTooLarge, "by its Content-Length")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(call.Writer, call.Request.Body, int64(p.BodyLimit)))
+	body, err := composer.ReadBody(call.Writer, call.Request, p.BodyLimit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return p.refuse("read-body", flow.ReasonRequestTooLarge, err.Error())
