--- a/internal/measurer/service_test.go
+++ b/internal/measurer/service_test.go
@@ -92,6 +92,8 @@
 // Limit returns a limit that is never reached.
 func (fixedLimit) Limit(flow.Time) int { return 100 }
 
+func (fixedLimit) Warming(flow.Time) bool { return false }
+
 // Observe does nothing.
 func (fixedLimit) Observe(flow.Time, flow.Time, time.Duration, int, flow.Verdict) {}
 
@@ -114,7 +116,7 @@
 			since := processorTime(b)
 			b.ReportAllocs()
 			for b.Loop() {
-				choice, ok := c.Choose(snapshot, service, nil)
+				choice, ok := c.Choose(snapshot, service, chooser.Request{Idempotent: true})
 				if !ok {
 					b.Fatal("no choice")
 				}
--- a/internal/process/admitter/gate.go
+++ b/internal/process/admitter/gate.go
@@ -13,6 +13,9 @@
 	defaultQueueShare    = 0.5
 	defaultTrialInterval = 250 * time.Millisecond
 
+	queuePerSlot = 4                      // most requests waiting for each slot
+	queueSpan    = 100 * time.Millisecond // time in which a queue beyond the given length has to move through
+
 	limitPoll        = 20 * time.Millisecond // interval at which a waiting gate asks whether its limit has grown
 	latencySmoothing = 0.1                   // weight of an answer in the smoothed latency
 )
@@ -24,9 +27,10 @@
 	Limiter        flow.Limiter
 	Connections    int           // most connections open at once; 0 for no bound
 	ConnectionCost time.Duration // server's time for opening one connection
-	QueueLength    int           // most requests waiting
+	Slots          int           // requests that the server can run at once when warm; 0 when unknown
+	QueueLength    int           // requests that may wait, however slowly the queue moves
 	QueueShare     float64       // most of the queue that one customer may hold, from 0 to 1
-	TrialInterval  time.Duration // least time between the starts of two trial requests while ejected
+	TrialInterval  time.Duration // least mean time between the starts of trial requests while ejected
 }
 
 // Entry is a request at the gate.
@@ -109,7 +113,7 @@
 	return &Gate{
 		options:  options,
 		flights:  map[uint64]flight{},
-		queue:    newQueue(options.QueueLength, options.QueueShare),
+		queue:    newQueue(options.QueueShare),
 		trials:   trials{since: flow.Never, last: flow.Never},
 		openings: newOpenings(options.Connections, options.ConnectionCost),
 	}
@@ -142,7 +146,7 @@
 		if !entry.MayTry || !g.mayTry(now) {
 			return DecisionRefused, flow.ReasonEjected
 		}
-		g.trials.last = now
+		g.spendTrial(now)
 		g.start(now, entry)
 		return DecisionStart, ""
 	}
@@ -157,7 +161,7 @@
 	if now.Add(g.expectedWait(now, entry)).After(entry.latestStart()) {
 		return DecisionRefused, flow.ReasonNoCapacity
 	}
-	out, ok := g.queue.push(entry)
+	out, ok := g.queue.push(entry, g.queueLength(now))
 	if !ok {
 		return DecisionRefused, flow.ReasonNoCapacity
 	}
@@ -168,6 +172,16 @@
 	return DecisionQueued, ""
 }
 
+// queueLength is how many requests may wait now: the given length, and at a
+// server of many slots as many more as start within queueSpan.
+func (g *Gate) queueLength(now flow.Time) int {
+	if g.latency <= 0 {
+		return g.options.QueueLength
+	}
+	soon := int(queueSpan * time.Duration(g.limit(now)) / g.latency)
+	return max(g.options.QueueLength, min(soon, queuePerSlot*g.options.Slots))
+}
+
 // expectedWait is the time until the entry would start, if all that would be
 // served before it takes the smoothed latency. It is 0 before the first answer.
 func (g *Gate) expectedWait(now flow.Time, entry Entry) time.Duration {
@@ -189,6 +203,7 @@
 	if verdict == flow.VerdictGood {
 		g.smooth(latency)
 	}
+	g.trialEnded(ended.started, verdict)
 	g.tried(now, verdict)
 	return g.Expire(now)
 }
--- a/internal/process/admitter/gate_test.go
+++ b/internal/process/admitter/gate_test.go
@@ -20,10 +20,15 @@
 )
 
 // settable is a limiter whose limit the test chooses.
-type settable struct{ limit int }
+type settable struct {
+	limit   int
+	warming bool
+}
 
 func (s *settable) Limit(flow.Time) int { return s.limit }
 
+func (s *settable) Warming(flow.Time) bool { return s.warming }
+
 func (s *settable) Observe(flow.Time, flow.Time, time.Duration, int, flow.Verdict) {}
 
 func newGate(limit int) (*admitter.Gate, *settable) {
@@ -175,6 +180,48 @@
 	}
 }
 
+// TestQueueFollowsSlots fills the queue with one customer's requests, which may
+// hold half of it.
+func TestQueueFollowsSlots(t *testing.T) {
+	cases := map[string]struct {
+		slots   int
+		latency time.Duration
+		want    int
+	}{
+		"few slots":                     {slots: 7, latency: 5 * time.Millisecond, want: 16},
+		"many slots":                    {slots: 64, latency: 5 * time.Millisecond, want: 80},
+		"no more than four to the slot": {slots: 64, latency: time.Millisecond, want: 128},
+		"many slots that move slowly":   {slots: 64, latency: 200 * time.Millisecond, want: 16},
+		"slots unknown":                 {latency: 5 * time.Millisecond, want: 16},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			gate := admitter.New(admitter.Options{Server: "s", Limiter: &settable{limit: 8}, Slots: tc.slots})
+			gate.Arrive(0, admitter.Entry{ID: 1, Customer: "a", NotAfter: later})
+			gate.Finish(0, 1, flow.VerdictGood, tc.latency)
+			for id := uint64(2); id < 400; id++ {
+				gate.Arrive(0, admitter.Entry{ID: id, Customer: "a", NotAfter: later})
+			}
+			is.New(t).Equal(gate.Figures(0).Waiting, tc.want)
+		})
+	}
+}
+
+func TestWarmingServerIsNotJudgedByLatency(t *testing.T) {
+	is := is.New(t)
+	gate, limiter := newGate(1)
+	limiter.warming = true
+	for i := range 3 {
+		verdict := flow.VerdictGood
+		if i == 0 {
+			verdict = flow.VerdictTimeout
+		}
+		gate.Arrive(1, admitter.Entry{ID: 1, Customer: "a", NotAfter: later})
+		gate.Finish(1, 1, verdict, time.Second)
+	}
+	is.Equal(gate.Report(1), flow.ServerReport{Server: "s", Count: 3, Failures: 1})
+}
+
 func TestEjectedGateTriesAndReturnsSlowly(t *testing.T) {
 	is := is.New(t)
 	gate, _ := newGate(4)
@@ -203,6 +250,45 @@
 	is.Equal(gate.State(), admitter.StateServing)
 }
 
+// TestTrialsOfAnEjectedGate asks for trials that take 10 ms each.
+func TestTrialsOfAnEjectedGate(t *testing.T) {
+	cases := map[string]struct {
+		verdict flow.Verdict
+		every   flow.Time // time between two runs of requests, at each full one
+		lasts   flow.Time // of each run, with a request each millisecond
+		want    int       // trials in ten seconds
+	}{
+		"good":                    {verdict: flow.VerdictGood, every: 1, lasts: 1, want: 40},
+		"fewer while bad":         {verdict: flow.VerdictFailed, every: 1, lasts: 1, want: 11},
+		"sheds say nothing":       {verdict: flow.VerdictShed, every: 1, lasts: 1, want: 40},
+		"one that was missed too": {verdict: flow.VerdictGood, every: 501, lasts: 60, want: 2 * 19},
+		"but not all":             {verdict: flow.VerdictGood, every: 2001, lasts: 60, want: 2 * 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate, _ := newGate(4)
+			gate.SetState(0, admitter.StateEjected)
+			trials, busy := 0, 0 // busy until then
+			for now := flow.Time(1); now <= 10_000; now++ {
+				if int(now) == busy {
+					gate.Finish(now, uint64(trials), tc.verdict, 10*time.Millisecond)
+				}
+				if now < tc.every || now%tc.every >= tc.lasts {
+					continue
+				}
+				answer := gate.Arrive(now, admitter.Entry{ID: uint64(trials + 1), NotAfter: later, MayTry: true})
+				is.True(answer.Load >= 1)
+				if answer.Decision == admitter.DecisionStart {
+					trials++
+					busy = int(now) + 10
+				}
+			}
+			is.Equal(trials, tc.want)
+		})
+	}
+}
+
 func TestReportsWindowsOfRealWork(t *testing.T) {
 	is := is.New(t)
 	gate, _ := newGate(1)
@@ -221,6 +307,7 @@
 	is.Equal(report.Count, 180)
 	is.Equal(report.Failures, 20)
 	is.True(report.Median > 95*time.Millisecond && report.Median < 110*time.Millisecond)
+	is.True(report.Quick > 47*time.Millisecond && report.Quick < 57*time.Millisecond)
 	is.True(report.Slow > 171*time.Millisecond && report.Slow < 189*time.Millisecond)
 	is.Equal(gate.Report(2), flow.ServerReport{Server: "s"})
 }
--- a/internal/process/admitter/queue.go
+++ b/internal/process/admitter/queue.go
@@ -22,32 +22,28 @@
 }
 
 type queue struct {
-	capacity  int
-	share     int // most entries of one customer
+	share     float64 // most of the queue that one customer may hold
 	length    int
 	customers map[string]*customer
 	busy      []*customer // customers with waiting entries
 	sequence  uint64
 }
 
-func newQueue(capacity int, share float64) queue {
-	return queue{
-		capacity:  capacity,
-		share:     max(1, int(math.Ceil(share*float64(capacity)))),
-		customers: map[string]*customer{},
-	}
+func newQueue(share float64) queue {
+	return queue{share: share, customers: map[string]*customer{}}
 }
 
-// push adds an entry. When the queue is full it makes room by taking out the
-// newest entry of the customer that holds most, if that customer holds at
-// least two more than the new entry's; it returns the entry taken out.
-func (q *queue) push(entry Entry) (*Entry, bool) {
+// push adds an entry to a queue that may hold so many. When the queue is full it
+// makes room by taking out the newest entry of the customer that holds most, if
+// that customer holds at least two more than the new entry's; it returns the
+// entry taken out.
+func (q *queue) push(entry Entry, capacity int) (*Entry, bool) {
 	own := q.customer(entry.Customer)
-	if len(own.waiting) >= q.share {
+	if len(own.waiting) >= max(1, int(math.Ceil(q.share*float64(capacity)))) {
 		return nil, false
 	}
 	var out *Entry
-	if q.length >= q.capacity {
+	if q.length >= capacity {
 		most := q.longest()
 		if most == nil || len(most.waiting) < len(own.waiting)+2 {
 			return nil, false
--- a/internal/process/admitter/report.go
+++ b/internal/process/admitter/report.go
@@ -16,6 +16,7 @@
 	bucketRatio  = 1.05                   // upper over lower bound of a bucket
 	bucketLeast  = 100 * time.Microsecond // upper bound of the first bucket
 	bucketCount  = 290                    // the last bucket ends at about two minutes
+	quickShare   = 0.25
 	medianShare  = 0.5
 	slowestShare = 0.9
 )
@@ -29,21 +30,31 @@
 }
 
 // Load returns the requests waiting and in flight as a share of the limit, for
-// the answers to ingresses. It is above 1 when requests wait.
+// the answers to ingresses. It is above 1 when requests wait, and at least 1
+// while the server is ejected, since it has no room for ordinary work.
 func (g *Gate) Load(now flow.Time) float64 {
-	return float64(len(g.flights)+g.queue.length) / float64(g.limit(now))
+	load := float64(len(g.flights)+g.queue.length) / float64(g.limit(now))
+	if g.state == StateEjected {
+		return max(1, load)
+	}
+	return load
 }
 
 // Report returns what the server's work was like since the last report. Sheds
 // and cancelled requests do not count: they say nothing about whether the
-// server works. Connections that could not be opened count as failures.
-func (g *Gate) Report(flow.Time) flow.ServerReport {
+// server works. Connections that could not be opened count as failures. A
+// server in its declared cold start is expected to be slow, so that its
+// latencies are left out.
+func (g *Gate) Report(now flow.Time) flow.ServerReport {
 	report := flow.ServerReport{
 		Server:   g.options.Server,
 		Count:    g.window.count,
 		Failures: g.window.failures,
-		Median:   g.window.quantile(medianShare),
-		Slow:     g.window.quantile(slowestShare),
+	}
+	if !g.options.Limiter.Warming(now) {
+		report.Quick = g.window.quantile(quickShare)
+		report.Median = g.window.quantile(medianShare)
+		report.Slow = g.window.quantile(slowestShare)
 	}
 	g.window = window{}
 	return report
--- a/internal/process/admitter/state.go
+++ b/internal/process/admitter/state.go
@@ -4,6 +4,8 @@
 package admitter
 
 import (
+	"time"
+
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -34,6 +36,11 @@
 	return names[s]
 }
 
+// trialDoublings bounds how often the time between the trials of an ejected gate
+// doubles while they end badly, so that a dead server harms fewer requests than
+// one that is to show that it got better.
+const trialDoublings = 2
+
 // trialsAlone is the number of good answers in a row that a gate on trial needs
 // before it takes two requests at once.
 const trialsAlone = 3
@@ -42,8 +49,9 @@
 // that returns from ejection.
 type trials struct {
 	since   flow.Time // when the gate came into its present state
-	last    flow.Time // when the last trial of an ejected gate started
+	last    flow.Time // when the last trial of an ejected gate started, or earlier for one that was missed
 	good    int       // good answers in a row
+	bad     int       // bad trials of an ejected gate in a row
 	allowed int       // requests that a returning gate may run at once
 }
 
@@ -90,7 +98,7 @@
 // mayTry reports whether an ejected gate may start a trial request: one at a
 // time, whatever older requests are still in flight.
 func (g *Gate) mayTry(now flow.Time) bool {
-	if now.Sub(g.trials.last) < g.options.TrialInterval || len(g.flights) >= g.limit(now) {
+	if now.Sub(g.trials.last) < g.trialInterval() || len(g.flights) >= g.limit(now) {
 		return false
 	}
 	for _, f := range g.flights {
@@ -101,6 +109,33 @@
 	return true
 }
 
+// spendTrial notes the start of a trial. One trial that was missed before, for
+// want of a request at the time, may follow at once; more are lost.
+func (g *Gate) spendTrial(now flow.Time) {
+	interval := g.trialInterval()
+	g.trials.last = max(g.trials.last.Add(interval), now.Add(-interval))
+}
+
+// trialInterval is the mean time between two trials now.
+func (g *Gate) trialInterval() time.Duration {
+	return g.options.TrialInterval << min(g.trials.bad, trialDoublings)
+}
+
+// trialEnded takes the end of a request that started at that time while the
+// gate is ejected.
+func (g *Gate) trialEnded(started flow.Time, verdict flow.Verdict) {
+	if g.state != StateEjected || started.Before(g.trials.since) {
+		return
+	}
+	switch verdict {
+	case flow.VerdictGood:
+		g.trials.bad = 0
+	case flow.VerdictShed, flow.VerdictCancelled:
+	default:
+		g.trials.bad++
+	}
+}
+
 // tried takes the end of a request while the gate is on trial.
 func (g *Gate) tried(now flow.Time, verdict flow.Verdict) {
 	if g.state != StateTrial || verdict == flow.VerdictCancelled {
--- a/internal/process/chooser/chooser.go
+++ b/internal/process/chooser/chooser.go
@@ -70,10 +70,16 @@
 	started flow.Time
 }
 
+// Request is what a choice depends on beside the service.
+type Request struct {
+	Tried      []string // backend servers that were tried
+	Idempotent bool     // it may be a trial at an ejected server
+}
+
 // Choose returns a backend server of a service that takes new work. One that
 // was tried, or whose host is not proved alive, is taken only when no other is
 // left. It is false when there is none at all.
-func (c *Chooser) Choose(snapshot *holder.Snapshot, record *flow.Service, tried []string) (*Choice, bool) {
+func (c *Chooser) Choose(snapshot *holder.Snapshot, record *flow.Service, request Request) (*Choice, bool) {
 	entries := snapshot.Index.Servers(record.Name)
 	s := c.service(record.Name)
 	s.mu.Lock()
@@ -81,8 +87,13 @@
 	now := c.clock.Now()
 	s.sweep(now, entries)
 	s.members = c.members(s.members[:0], entries)
-	s.candidates = s.view.Candidates(now, s.candidates[:0], s.members, len(s.members), record.Floor)
-	avoid(s.candidates, tried, snapshot.Unproved)
+	s.candidates = s.view.Candidates(now, s.candidates[:0], picker.Query{
+		Members:    s.members,
+		InService:  len(s.members),
+		Floor:      record.Floor,
+		Idempotent: request.Idempotent,
+	})
+	avoid(s.candidates, request.Tried, snapshot.Unproved)
 	i, ok := s.picker.Pick(now, s.candidates)
 	if !ok {
 		return nil, false
--- a/internal/process/ejector/evidence.go
+++ b/internal/process/ejector/evidence.go
@@ -12,149 +12,194 @@
 )
 
 const (
-	evidenceProven = 12.0               // logarithm of the likelihood ratio that convicts
-	evidenceStep   = evidenceProven / 2 // most that one epoch can add or take, so that two in a row are needed
-
-	slowRatio       = 2.5  // latency over the others' that is neither slow nor not
-	slowSpread      = 0.6  // spread of one answer's logarithm when unknown
-	slowSpreadMin   = 0.3  // least spread that is believed
+	slowRatio       = 2.5  // latency over the others' from which an answer counts as slow
+	slowUsual       = 0.25 // share of slow answers that is always taken as usual
+	slowSought      = 0.85 // share of slow answers that is looked for
 	failureUsual    = 0.03 // share of failures that is always taken as usual
-	failureMargin   = 1.5  // factor of the others' failures that is taken as usual
-	failureExcess   = 0.2  // share of failures above the usual that is looked for
+	usualMargin     = 1.5  // factor of the others' share that is taken as usual
+	usualMost       = 0.75 // bound of the share that is taken as usual
+	failureExcess   = 0.2  // least share of failures above the usual that is looked for
 	failureSeverity = 3.0  // severity of failing always, as the logarithm of a latency ratio
-	failureHighest  = 0.95 // bound of the share of failures that is looked for
+	shareMost       = 0.95 // bound of the share that is looked for
 	trimmedShare    = 3    // one in so many of the others, the worst, does not count for what is usual
 )
 
 // The bounds of an epoch, which is the work of a server that is judged at once.
 const (
-	epochSpan      = 950 * time.Millisecond  // least time of an epoch, which is a second of windows with jitter
+	sustainedSpan  = 2500 * time.Millisecond // least time from the first slow answers until a server is taken for slow
+	confirmProven  = 7.0                     // evidence of failing over all its time that confirms it
 	confirmSpan    = 3500 * time.Millisecond // time over which a slow server has to be slow
-	epochLongest   = 15 * time.Second        // time after which an epoch that is too thin to judge is dropped
-	epochSamples   = 8                       // least requests of an epoch
-	trialSamples   = 3                       // least trial requests of an epoch while ejected
-	latencySamples = 5                       // least good answers of an epoch that says something of latency
-	otherSamples   = 3                       // least requests of another server to be compared with
+	confirmShare   = 0.75                    // share of its answers in that time that have to be slow
+	newestShare    = 0.5                     // share of those of its newest window
+	usualSpan      = 10 * time.Second        // time over which the others show what is usual
+	epochLongest   = 15 * time.Second        // time after which an epoch is dropped for want of others to compare with
 	othersLeast    = 2                       // least other servers to compare with
 	othersCompared = 48                      // most other servers to compare with
+	othersWork     = 12                      // least work of all others to compare with
+)
+
+// A charge is what a server may be convicted of. All evidence is the logarithm
+// of a likelihood ratio.
+type charge struct {
+	proven float64 // evidence that convicts
+	trial  float64 // evidence that the results of trial requests have to wear off
+	strike float64 // added to it for each earlier ejection that is not forgotten
+	worst  float64 // bound of it
+}
+
+var (
+	slowCharge    = charge{proven: 12, trial: 8, strike: 1, worst: 12}
+	failureCharge = charge{proven: 9, trial: 5, strike: 1, worst: 8}
 )
 
+// epochsLeast is the least count of epochs that a conviction takes, whatever
+// they say.
+const epochsLeast = 3
+
 // evidence is a cumulative sum of logarithms of likelihood ratios that is kept
 // from falling below zero (Page, Continuous inspection schemes): it adds up over
 // thin windows as well as over busy ones, and bursts of chance wear off.
-type evidence float64
+type evidence struct {
+	charge charge
+	sum    float64
+	most   float64   // bound of the sum
+	since  flow.Time // when the sum was last zero
+	shown  part      // work since then, without that of trials
+	trial  bool      // the server is ejected for it, or for something else
+}
 
-// add takes the result of one epoch.
-func (e *evidence) add(ratio float64) {
-	step := max(-evidenceStep, min(evidenceStep, ratio))
-	*e = evidence(max(0, min(evidenceProven, float64(*e)+step)))
+func newEvidence(charge charge) evidence {
+	return evidence{charge: charge, most: charge.proven}
 }
 
-// proven reports whether the evidence convicts.
-func (e evidence) proven() bool { return e >= evidenceProven }
-
-// slownessRatio is the logarithm of the likelihood ratio of a server slower by
-// the square of slowRatio against one like the others. The others are
-// summarized by median and median absolute deviation, which a minority of bad
-// servers does not move. The rise is the logarithm of the server's latency over
-// the others'.
-func slownessRatio(own span, others []span) (ratio, rise float64) {
-	center := centerOf(others)
-	between := deviationOf(others, center)
-	spread := max(spreadAmong(others), own.spread) // a heavier mix of requests spreads wider
-	within := medianError * spread / math.Sqrt(float64(own.good))
-	variance := between*between + within*within
-	shift := 2 * math.Log(slowRatio)
-	rise = own.median - center
-	return shift / variance * (rise - shift/2), rise
-}
-
-// failureRatio is the logarithm of the likelihood ratio of a server that fails
-// by failureExcess more than usual against one that fails as usual. What is
-// usual comes from the others without the worst of them.
-func failureRatio(own span, others []span) float64 {
-	ordered := slices.Clone(others)
-	slices.SortFunc(ordered, func(a, b span) int {
-		return a.failures*b.count - b.failures*a.count
-	})
-	count, failures := 0, 0
-	for _, o := range ordered[:len(ordered)-len(ordered)/trimmedShare] {
-		count += o.count
-		failures += o.failures
+// add takes the work of one epoch, which began at since.
+func (e *evidence) add(since flow.Time, work part, odds odds) {
+	if e.sum <= 0 {
+		e.since = since
+		e.shown = part{}
 	}
-	usual := failureUsual
-	if count > 0 {
-		usual = max(usual, failureMargin*float64(failures)/float64(count))
+	longest := e.charge.proven / epochsLeast
+	step := max(-longest, min(longest, odds.of(work)))
+	e.sum = max(0, min(e.most, e.sum+step))
+	if !e.trial {
+		e.shown.of += work.of
+		e.shown.bad += work.bad
 	}
-	usual = min(usual, failureHighest-failureUsual)
-	bad := min(failureHighest, usual+failureExcess)
-	return float64(own.failures)*math.Log(bad/usual) +
-		float64(own.count-own.failures)*math.Log((1-bad)/(1-usual))
+}
+
+// proven reports whether the evidence convicts.
+func (e *evidence) proven() bool { return e.sum >= e.charge.proven }
+
+// share estimates the share of bad work that the server has shown, with a little
+// work more of which a third was bad.
+func (e *evidence) share() float64 { return (e.shown.bad + 1) / (e.shown.of + 3) }
+
+// try lessens the evidence at the beginning of an ejection, and bounds it while
+// the ejection lasts, so that good trial results can wear it off.
+func (e *evidence) try(strikes int) {
+	e.trial = true
+	e.most = min(e.charge.worst, e.charge.trial+e.charge.strike*float64(strikes))
+	e.sum = min(e.sum, e.most)
+}
+
+// resume takes ordinary work again.
+func (e *evidence) resume() {
+	e.trial = false
+	e.most = e.charge.proven
+}
+
+// odds are the logarithms of the likelihood ratios of one bad and one good piece
+// of work.
+type odds struct {
+	bad, good float64
+}
+
+// of is the logarithm of the likelihood ratio of some work.
+func (o odds) of(work part) float64 {
+	return work.bad*o.bad + (work.of-work.bad)*o.good
+}
+
+// oddsOf compares a sought with a usual share of bad work.
+func oddsOf(usual, sought float64) odds {
+	return odds{bad: math.Log(sought / usual), good: math.Log((1 - sought) / (1 - usual))}
+}
+
+// failureOdds looks for a share of failures like the one that the server has
+// shown, and at least for failureExcess above the usual one.
+func failureOdds(usual, shown float64) odds {
+	usual = min(usualMost, max(failureUsual, usualMargin*usual))
+	return oddsOf(usual, min(shareMost, max(usual+failureExcess, shown)))
+}
+
+// slowOdds looks for a server most of whose answers are slow, against one with a
+// heavier mix of requests than the others'.
+func slowOdds(usual float64) odds {
+	usual = min(usualMost, max(slowUsual, usualMargin*usual))
+	return oddsOf(usual, max(slowSought, (1+usual)/2))
 }
 
 // -----------------------------------------------------------------------------
 
-const (
-	normalDeviation = 1.4826 // standard over median absolute deviation of a normal distribution
-	medianError     = 1.2533 // standard error of a median over that of a mean
-	normalSlow      = 1.2816 // 90th percentile of the standard normal distribution
-	spreadSamples   = 5      // good answers from which a spread is believed
-)
+// peers is what the others did in a time.
+type peers struct {
+	center  float64 // median of the servers' latencies, as a logarithm
+	timed   int     // servers whose latency is known
+	slow    float64 // usual share of answers that are slow against the center
+	failing float64 // usual share of failures
+}
 
-// spreadOf estimates the standard deviation of one answer's logarithm from the
-// percentiles of a report.
-func spreadOf(good int, report flow.ServerReport) float64 {
-	if good < spreadSamples || report.Slow <= report.Median {
-		return 0
-	}
-	return math.Log(float64(report.Slow)/float64(report.Median)) / normalSlow
-}
-
-// merge summarizes the windows that ended after since.
-func merge(windows []span, since flow.Time) span {
-	var merged span
-	var recent []span
-	for i := len(windows) - 1; i >= 0 && windows[i].until.After(since); i-- {
-		w := windows[i]
-		merged.until = max(merged.until, w.until)
-		merged.count += w.count
-		merged.failures += w.failures
-		merged.good += w.good
-		if w.good > 0 {
-			recent = append(recent, w)
+// peersOf summarizes the others by medians and by shares without the worst of
+// them, which a minority of bad servers does not move.
+func peersOf(others []span) peers {
+	var p peers
+	medians := make([]float64, 0, len(others))
+	for _, o := range others {
+		if o.good > 0 {
+			medians = append(medians, o.median)
 		}
-		merged.spread = max(merged.spread, w.spread)
 	}
-	if len(recent) > 0 {
-		merged.newest = recent[0].median
+	p.timed = len(medians)
+	p.center = median(medians)
+	slow := make([]part, 0, len(others))
+	failed := make([]part, 0, len(others))
+	for i := range others {
+		o := &others[i]
+		slow = append(slow, part{of: float64(o.good), bad: o.over(p.bound())})
+		failed = append(failed, part{of: float64(o.count), bad: float64(o.failures)})
 	}
-	merged.median, merged.low = weighted(recent, merged.good)
-	return merged
+	p.slow = usualShare(slow)
+	p.failing = usualShare(failed)
+	return p
+}
+
+// bound is the logarithm of the latency from which an answer counts as slow.
+func (p peers) bound() float64 { return p.center + math.Log(slowRatio) }
+
+// part is some work and how much of it was bad.
+type part struct {
+	of, bad float64
 }
 
-// weighted returns the median and the lower quartile of the windows' medians,
-// each weighing as much as it has good answers.
-func weighted(windows []span, good int) (middle, low float64) {
-	slices.SortFunc(windows, func(a, b span) int {
-		switch {
-		case a.median < b.median:
+// usualShare is the share of bad work without the worst of the parts.
+func usualShare(parts []part) float64 {
+	slices.SortFunc(parts, func(a, b part) int {
+		switch difference := a.bad*b.of - b.bad*a.of; {
+		case difference < 0:
 			return -1
-		case a.median > b.median:
+		case difference > 0:
 			return 1
 		}
 		return 0
 	})
-	seen := 0
-	for _, w := range windows {
-		if 4*seen < good {
-			low = w.median
-		}
-		if 2*seen < good {
-			middle = w.median
-		}
-		seen += w.good
+	var sum part
+	for _, p := range parts[:len(parts)-len(parts)/trimmedShare] {
+		sum.of += p.of
+		sum.bad += p.bad
+	}
+	if sum.of == 0 {
+		return 0
 	}
-	return middle, low
+	return sum.bad / sum.of
 }
 
 // median returns the middle value, or 0 of none; it sorts the values.
@@ -169,36 +214,3 @@
 	}
 	return (values[middle-1] + values[middle]) / 2
 }
-
-// centerOf is the median of the servers' latencies, as a logarithm.
-func centerOf(servers []span) float64 {
-	medians := make([]float64, 0, len(servers))
-	for _, s := range servers {
-		medians = append(medians, s.median)
-	}
-	return median(medians)
-}
-
-// deviationOf estimates the standard deviation of the servers' latencies from
-// the median absolute one.
-func deviationOf(servers []span, center float64) float64 {
-	distances := make([]float64, 0, len(servers))
-	for _, s := range servers {
-		distances = append(distances, math.Abs(s.median-center))
-	}
-	return normalDeviation * median(distances)
-}
-
-// spreadAmong is the usual spread of one answer's logarithm.
-func spreadAmong(servers []span) float64 {
-	spreads := make([]float64, 0, len(servers))
-	for _, s := range servers {
-		if s.spread > 0 {
-			spreads = append(spreads, s.spread)
-		}
-	}
-	if len(spreads) == 0 {
-		return slowSpread
-	}
-	return max(slowSpreadMin, median(spreads))
-}
--- a/internal/process/ejector/robust.go
+++ b/internal/process/ejector/robust.go
@@ -81,7 +81,6 @@
 	}
 	for _, s := range own {
 		r.judge(now, s)
-		s.confirmed = !s.ejected && s.slowness.proven() && r.confirms(now, s)
 	}
 	if !r.ready(now) {
 		return nil
@@ -97,8 +96,8 @@
 			Server:    s.name,
 			Taking:    s.takesWork(now),
 			Leased:    s.leased(now),
-			Slowness:  float64(s.slowness) / evidenceProven,
-			Failing:   float64(s.failing) / evidenceProven,
+			Slowness:  s.slowness.sum / slowCharge.proven,
+			Failing:   s.failing.sum / failureCharge.proven,
 			Ejections: s.ejections,
 		})
 	}
@@ -107,89 +106,95 @@
 
 // -----------------------------------------------------------------------------
 
-// judge closes the server's epoch if it holds enough work and enough others
-// worked at the same time, and adds up what it says.
+// judge closes the server's epoch, which is the work since it was last judged, if
+// there is any and enough others worked at the same time, and adds up what it
+// says. The others are looked at over a longer time too, and the worse of their
+// two states is the usual one: few answers tell it badly, and older ones miss
+// that the service as a whole has just become worse.
 func (r *robust) judge(now flow.Time, s *server) {
-	if s.epochSince == flow.Never {
-		s.epochSince = now
-		return
-	}
-	lasted := now.Sub(s.epochSince)
 	own := merge(s.windows, s.epochSince)
-	least := epochSamples
-	if s.ejected {
-		least = trialSamples
-	}
-	if lasted < epochSpan || own.count < least {
-		r.drop(now, s, lasted)
+	if own.count == 0 || s.epochSince == flow.Never {
+		s.epochSince = now
 		return
 	}
-	others, all := r.others(s, s.epochSince)
-	if len(others) < max(othersLeast, min(all/2, othersCompared)) {
-		r.drop(now, s, lasted)
+	atOnce, enough := r.others(s, s.epochSince)
+	if !enough {
+		r.drop(now, s)
 		return
 	}
-	s.failing.add(failureRatio(own, others))
-	s.severity = failureSeverity * float64(own.failures) / float64(own.count)
-	if answering := withLatency(others); own.good >= min(latencySamples, least) && len(answering) >= othersLeast {
-		ratio, rise := slownessRatio(own, answering)
-		s.slowness.add(ratio)
-		s.severity += max(0, rise)
+	lately, _ := r.others(s, min(s.epochSince, now.Add(-usualSpan)))
+	usual := worse(peersOf(atOnce), peersOf(lately))
+	s.failing.add(s.epochSince, part{float64(own.count), float64(own.failures)}, failureOdds(usual.failing, s.failing.share()))
+	if usual.timed >= othersLeast {
+		s.slowness.add(s.epochSince, part{float64(own.good), own.over(usual.bound())}, slowOdds(usual.slow))
 	}
+	r.weigh(now, s, usual)
+	s.failsAlone = s.failing.proven() && r.failsAlone(s)
 	s.epochSince = now
 }
 
-// drop gives up an epoch that lasted too long: its work is too thin.
-func (r *robust) drop(now flow.Time, s *server, lasted time.Duration) {
-	if lasted > epochLongest {
+// drop gives up an epoch that lasted too long without others to compare with.
+func (r *robust) drop(now flow.Time, s *server) {
+	if now.Sub(s.epochSince) > epochLongest {
 		s.epochSince = now
 	}
 }
 
-// confirms reports whether the newest of the server's windows, and three
-// quarters of them over a longer time, are slow. The median of one epoch may be
-// that of a chance run of heavy requests, or of a pause that is over.
-func (r *robust) confirms(now flow.Time, s *server) bool {
-	since := min(s.epochSince, now.Add(-confirmSpan))
-	own := merge(s.windows, since)
-	others, _ := r.others(s, since)
-	answering := withLatency(others)
-	if own.good == 0 || len(answering) < othersLeast {
-		return false
+// weigh notes how bad the server's work of late was, and whether it was slow
+// throughout: a chance run of heavy requests, and a pause that is over, are not.
+func (r *robust) weigh(now flow.Time, s *server, usual peers) {
+	lately := merge(s.windows, min(s.epochSince, now.Add(-confirmSpan)))
+	s.severity = failureSeverity * float64(lately.failures) / float64(lately.count)
+	s.slowLately = false
+	if lately.good == 0 || usual.timed < othersLeast {
+		return
 	}
-	bound := centerOf(answering) + math.Log(slowRatio)
-	return own.low > bound && own.newest > bound
+	s.severity += max(0, lately.median-usual.center)
+	newest := lately.newest()
+	s.slowLately = now.Sub(s.slowness.since) >= sustainedSpan &&
+		lately.over(usual.bound()) >= confirmShare*float64(lately.good) &&
+		newest.over(usual.bound()) >= newestShare*float64(newest.good)
 }
 
-// others returns the work of the other servers in service since then, as far as
-// it is enough to compare with, and how many others there are. Ejected ones are
-// left out, since their work is trial requests only.
-func (r *robust) others(s *server, since flow.Time) (found []span, all int) {
+// failsAlone reports whether the work behind the evidence of failing still speaks
+// against the server when all that the others did in the same time is known.
+func (r *robust) failsAlone(s *server) bool {
+	others, _ := r.others(s, s.failing.since)
+	odds := failureOdds(peersOf(others).failing, s.failing.share())
+	return odds.of(s.failing.shown) >= confirmProven
+}
+
+// worse is the worse of two states of the others.
+func worse(p, q peers) peers {
+	return peers{
+		center:  max(p.center, q.center),
+		timed:   min(p.timed, q.timed),
+		slow:    max(p.slow, q.slow),
+		failing: max(p.failing, q.failing),
+	}
+}
+
+// others returns the work of the other servers in service since then, and
+// whether it is enough to compare with. Ejected ones are left out, since their
+// work is trial requests only.
+func (r *robust) others(s *server, since flow.Time) (found []span, enough bool) {
 	start, _ := slices.BinarySearchFunc(r.order, s.name, func(o *server, name string) int {
 		return strings.Compare(o.name, name)
 	})
+	all, work := 0, 0
 	for i := 1; i < len(r.order) && len(found) < othersCompared; i++ {
 		o := r.order[(start+i)%len(r.order)]
 		if o.ejected {
 			continue
 		}
 		all++
-		work := merge(o.windows, since)
-		if work.count >= otherSamples {
-			found = append(found, work)
-		}
-	}
-	return found, all
-}
-
-func withLatency(spans []span) []span {
-	var found []span
-	for _, s := range spans {
-		if s.good > 0 {
-			found = append(found, s)
+		merged := merge(o.windows, since)
+		work += merged.count
+		if merged.count > 0 {
+			found = append(found, merged)
 		}
 	}
-	return found
+	return found, work >= othersWork && len(found) >= max(othersLeast, min(all/2, othersCompared))
 }
 
 // -----------------------------------------------------------------------------
--- a/internal/process/ejector/server.go
+++ b/internal/process/ejector/server.go
@@ -4,7 +4,6 @@
 package ejector
 
 import (
-	"math"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -25,18 +24,6 @@
 	trialPatience = 5 * time.Second  // longest wait for trial results before a server is given back
 )
 
-// A span is the work of one or more windows of a server, up to a moment.
-type span struct {
-	until    flow.Time
-	count    int
-	failures int
-	good     int
-	median   float64 // logarithm of nanoseconds, of good answers
-	low      float64 // lower quartile of the windows' medians, as a logarithm
-	newest   float64 // median of the newest window, as a logarithm
-	spread   float64 // standard deviation of one answer's logarithm; 0 when unknown
-}
-
 // server is what the owner remembers of one server.
 type server struct {
 	name    string
@@ -48,9 +35,10 @@
 
 	epochSince flow.Time // start of the work that was not judged yet
 	slowness   evidence
-	confirmed  bool // it is slow over a longer time too
 	failing    evidence
-	severity   float64 // how bad the last epoch was, to order the bad
+	failsAlone bool    // the others did not fail with it
+	slowLately bool    // most of its work over a longer time was slow
+	severity   float64 // how bad its work over that time was, to order the bad
 
 	ejected     bool
 	ejectedAt   flow.Time
@@ -63,27 +51,27 @@
 }
 
 func newServer(name string) *server {
-	return &server{name: name, heard: flow.Never, leaseUntil: flow.Never, holdUntil: flow.Never, epochSince: flow.Never}
+	return &server{
+		name:       name,
+		heard:      flow.Never,
+		leaseUntil: flow.Never,
+		holdUntil:  flow.Never,
+		epochSince: flow.Never,
+		slowness:   newEvidence(slowCharge),
+		failing:    newEvidence(failureCharge),
+	}
 }
 
 // observe takes one window.
 func (s *server) observe(now flow.Time, report flow.ServerReport) {
 	s.heard = now
 	s.reports++
-	count := max(0, report.Count)
-	failures := min(max(0, report.Failures), count)
-	window := span{until: now, count: count, failures: failures, good: count - failures}
-	if report.Median <= 0 {
-		window.good = 0
-	}
+	window := newSpan(now, report)
+	s.barren += window.count
 	if window.good > 0 {
-		window.median = math.Log(float64(report.Median))
-		window.spread = spreadOf(window.good, report)
 		s.barren = 0
-	} else {
-		s.barren += count
 	}
-	if count > 0 {
+	if window.count > 0 {
 		s.trialAt = now
 	}
 	if len(s.windows) >= windowsKept {
@@ -104,7 +92,7 @@
 // isBad reports whether the server ought to be ejected.
 func (s *server) isBad(now flow.Time) bool {
 	if !s.ejected {
-		return s.confirmed || s.failing.proven()
+		return s.failing.proven() && s.failsAlone || s.slowness.proven() && s.slowLately
 	}
 	if now.Before(s.holdUntil) {
 		return true
@@ -112,12 +100,12 @@
 	if now.Sub(max(s.trialAt, s.ejectedAt)) > trialPatience {
 		return false
 	}
-	return s.slowness > 0 || s.failing > 0
+	return s.slowness.sum > 0 || s.failing.sum > 0
 }
 
 // reason names the stronger evidence.
 func (s *server) reason() string {
-	if s.failing > s.slowness {
+	if s.failing.sum > s.slowness.sum {
 		return ReasonFailures
 	}
 	return ReasonLatency
@@ -126,8 +114,8 @@
 // -----------------------------------------------------------------------------
 
 // eject begins an ejection. Each one that follows others lasts at least twice
-// as long as the one before. The evidence is halved, so that good trial results
-// can wear it off.
+// as long as the one before. The evidence is lessened, so that good trial
+// results can wear it off.
 func (s *server) eject(now flow.Time, lifetime time.Duration) {
 	s.forgive(now)
 	s.ejected = true
@@ -138,18 +126,17 @@
 		hold = min(2*hold, holdMost)
 	}
 	s.holdUntil = now.Add(hold)
-	s.strikes++
-	s.slowness = min(s.slowness, evidenceProven/2)
-	s.failing = min(s.failing, evidenceProven/2)
 	s.epochSince = now
+	s.slowness.try(s.strikes)
+	s.failing.try(s.strikes)
+	s.strikes++
 }
 
 // release ends an ejection, so that no lease is renewed.
 func (s *server) release(now flow.Time) {
-	s.confirmed = false
 	s.ejected = false
-	s.slowness = 0
-	s.failing = 0
+	s.slowness = newEvidence(slowCharge)
+	s.failing = newEvidence(failureCharge)
 	s.epochSince = now
 	s.strikesFrom = now
 }
@@ -161,6 +148,8 @@
 		return
 	}
 	s.ejected = false
+	s.slowness.resume()
+	s.failing.resume()
 	s.strikes = max(0, s.strikes-1)
 	s.strikesFrom = now
 	s.epochSince = now
--- a/internal/process/limiter/aimd.go
+++ b/internal/process/limiter/aimd.go
@@ -40,6 +40,7 @@
 	served    bool      // a good answer came since the server was last cold
 	known     bool      // the server was seen at all
 	coldSince flow.Time // when the server was last seen cold
+	startSeen flow.Time // when it was last seen to start; latency alone does not tell a start from a fault
 	lastCold  flow.Time // when the limit was last reset, by news of a server that forgot what it could bear
 	lastCut   flow.Time // when the limit was last lowered
 	lastNews  flow.Time
@@ -90,6 +91,7 @@
 	if !a.known {
 		a.known = true
 		a.coldSince = now
+		a.startSeen = now
 		a.lastNews = now
 		a.lastGrown = now
 		return
@@ -102,6 +104,12 @@
 	a.lastNews = now
 }
 
+// Warming reports whether the declared cold start lasts after a start that was
+// seen.
+func (a *aimd) Warming(now flow.Time) bool {
+	return a.known && now.Sub(a.startSeen) < a.options.ColdStart
+}
+
 // ceiling is the most that the limit may be: the slots, and less while a
 // declared cold start lasts.
 func (a *aimd) ceiling(now flow.Time) float64 {
@@ -169,6 +177,7 @@
 	if !started.After(a.lastCut) {
 		return
 	}
+	a.startSeen = now
 	if a.served {
 		a.cold(now)
 		return
--- a/internal/process/limiter/gradient.go
+++ b/internal/process/limiter/gradient.go
@@ -34,6 +34,9 @@
 // Limit returns the limit in force.
 func (g *gradient) Limit(flow.Time) int { return int(g.limit) }
 
+// Warming is false, since this limiter knows nothing of cold starts.
+func (*gradient) Warming(flow.Time) bool { return false }
+
 // Observe moves the limit along the gradient.
 func (g *gradient) Observe(_, _ flow.Time, latency time.Duration, inFlight int, verdict flow.Verdict) {
 	switch verdict {
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -96,6 +96,72 @@
 	}
 }
 
+func TestWarmingAfterStartsOnly(t *testing.T) {
+	cases := map[string]struct {
+		verdict flow.Verdict
+		latency time.Duration
+		want    bool
+	}{
+		"slow answers": {flow.VerdictGood, 500 * time.Millisecond, false},
+		"timeouts":     {flow.VerdictTimeout, time.Second, false},
+		"a restart":    {flow.VerdictRefused, 0, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := limiter.New(limiter.NameAIMD, limiter.Options{Server: "s", Slots: 8, ColdStart: 4 * time.Second})
+			is.NoErr(err)
+			l.Limit(0)
+			is.True(l.Warming(3999))
+			for now := flow.Time(4000); now < 6000; now += 20 {
+				l.Observe(now, now-10, 10*time.Millisecond, 1, flow.VerdictGood)
+			}
+			is.True(!l.Warming(6000))
+			for now := flow.Time(6010); now < 6200; now += 10 {
+				l.Observe(now, now-1, tc.latency, 1, tc.verdict)
+			}
+			is.Equal(l.Limit(6200), 1)
+			is.Equal(l.Warming(6200), tc.want)
+		})
+	}
+}
+
+// TestNoiseOfTheMachineRefusesNothing logs what a gate with aimd refuses of the
+// work of a server that is far from its limits, and holds that it is next to
+// nothing.
+func TestNoiseOfTheMachineRefusesNothing(t *testing.T) {
+	cases := map[string]struct {
+		noise
+		refused float64 // most of the requests, as a share
+	}{
+		"quiet":                      {noise{slots: 64, rate: 400}, 0.01},
+		"short stalls":               {noise{slots: 64, rate: 400, stalls: 5, stall: 10}, 0.01},
+		"long stalls":                {noise{slots: 64, rate: 400, stalls: 3, stall: 30}, 0.01},
+		"many stalls":                {noise{slots: 64, rate: 400, stalls: 10, stall: 20}, 0.01},
+		"late answers":               {noise{slots: 64, rate: 400, late: 0.1, later: 30}, 0.01},
+		"stalls and late answers":    {noise{slots: 64, rate: 400, stalls: 5, stall: 20, late: 0.1, later: 30}, 0.015},
+		"few slots, stalls and late": {noise{slots: 7, rate: 60, stalls: 5, stall: 20, late: 0.1, later: 30}, 0.01},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			asked, refused, worst, least := 0, 0, 0.0, tc.slots
+			for seed := range uint64(seeds) {
+				m := &machine{noise: tc.noise, random: rand.New(rand.NewPCG(seed, 2))}
+				l, err := limiter.New(limiter.NameAIMD, limiter.Options{Server: "s", Slots: tc.slots})
+				is.New(t).NoErr(err)
+				m.drive(l)
+				asked += m.asked
+				refused += m.refused
+				worst = max(worst, float64(m.refused)/float64(m.asked))
+				least = min(least, m.least)
+			}
+			share := float64(refused) / float64(asked)
+			t.Logf("%-28s refused %.2f%%, in the worst run %.2f%%, lowest limit %d", name, 100*share, 100*worst, least)
+			is.New(t).True(share <= tc.refused)
+		})
+	}
+}
+
 // -----------------------------------------------------------------------------
 
 // news is one answer; the latency is the time since it started.
--- a/internal/process/limiter/server_test.go
+++ b/internal/process/limiter/server_test.go
@@ -4,10 +4,13 @@
 package limiter_test
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/process/admitter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -152,3 +155,131 @@
 		}
 	}
 }
+
+// -----------------------------------------------------------------------------
+
+const (
+	warmLatency = 5.0               // milliseconds, of a server far from its limits
+	warmSpread  = 0.3               // standard deviation of its logarithm
+	permitSpan  = flow.Time(1000)   // in which a request may start
+	afterStall  = 3.0               // milliseconds in which the delayed answers come after a stall, in the mean
+	stallMost   = 60.0              // milliseconds
+	noiseSpan   = flow.Time(30_000) // of a run
+	usedFor     = flow.Time(2000)   // in which the limit may still rise to what is asked
+)
+
+// noise is that of a machine with more to run than processors.
+type noise struct {
+	slots  int
+	rate   float64 // requests a second
+	stalls float64 // a second, each of which stops everything
+	stall  float64 // their mean length in milliseconds
+	late   float64 // share of answers that come late by themselves
+	later  float64 // by how much in the mean, in milliseconds
+}
+
+// machine drives a server that is far from its limits through a gate, on a
+// machine with noise. All requests are of one customer.
+type machine struct {
+	noise
+	random  *rand.Rand
+	gate    *admitter.Gate
+	running map[uint64]flow.Time // when each ends
+	began   map[uint64]flow.Time
+
+	lastID         uint64
+	asked, refused int // after usedFor
+	least          int // limit in force
+}
+
+func (m *machine) drive(l flow.Limiter) {
+	m.gate = admitter.New(admitter.Options{Server: "s", Limiter: l, Slots: m.slots})
+	m.running, m.began = map[uint64]flow.Time{}, map[uint64]flow.Time{}
+	m.least = m.slots
+	var stalledUntil flow.Time
+	waiting := 0
+	for now := flow.Time(1); now <= noiseSpan; now++ {
+		for m.random.Float64() < m.rate/1000 {
+			waiting++
+		}
+		if now >= stalledUntil && m.random.Float64() < m.stalls/1000 {
+			stalledUntil = now + flow.Time(min(stallMost, m.stall*m.random.ExpFloat64()))
+		}
+		if now < stalledUntil {
+			continue
+		}
+		if now == stalledUntil {
+			m.trickle(now)
+		}
+		m.finish(now)
+		for ; waiting > 0; waiting-- {
+			m.arrive(now)
+		}
+		if now > usedFor {
+			m.least = min(m.least, l.Limit(now))
+		}
+	}
+}
+
+func (m *machine) arrive(now flow.Time) {
+	m.lastID++
+	id := m.lastID
+	if now > usedFor {
+		m.asked++
+	}
+	answer := m.gate.Arrive(now, admitter.Entry{ID: id, Customer: "c", NotAfter: now + permitSpan})
+	if answer.Decision == admitter.DecisionRefused {
+		m.refuse(now, 1)
+	}
+	if answer.Decision == admitter.DecisionStart {
+		m.begin(now, id)
+	}
+	m.act(now, answer.Moves)
+}
+
+func (m *machine) act(now flow.Time, moves admitter.Moves) {
+	m.refuse(now, len(moves.Refused))
+	for _, id := range moves.Start {
+		m.begin(now, id)
+	}
+}
+
+func (m *machine) refuse(now flow.Time, count int) {
+	if now > usedFor {
+		m.refused += count
+	}
+}
+
+func (m *machine) begin(now flow.Time, id uint64) {
+	latency := warmLatency * math.Exp(warmSpread*m.random.NormFloat64())
+	if m.random.Float64() < m.late {
+		latency += m.later * m.random.ExpFloat64()
+	}
+	m.began[id] = now
+	m.running[id] = now + flow.Time(math.Round(latency))
+}
+
+// trickle spreads the answers that came during a stall over what follows it.
+func (m *machine) trickle(now flow.Time) {
+	for _, id := range slices.Sorted(maps.Keys(m.running)) {
+		if m.running[id] < now {
+			m.running[id] = now + flow.Time(afterStall*m.random.ExpFloat64())
+		}
+	}
+}
+
+// finish ends what is due, the oldest first.
+func (m *machine) finish(now flow.Time) {
+	var due []uint64
+	for id, ends := range m.running {
+		if !ends.After(now) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		delete(m.running, id)
+		m.act(now, m.gate.Finish(now, id, flow.VerdictGood, now.Sub(m.began[id])))
+	}
+	m.act(now, m.gate.Expire(now))
+}
--- a/internal/process/modelchecker/world.go
+++ b/internal/process/modelchecker/world.go
@@ -111,12 +111,21 @@
 
 type eventQueue []event
 
+// Len is that of heap.Interface.
 func (q eventQueue) Len() int { return len(q) }
+
+// Less orders events by time, and those of one time as they were added.
 func (q eventQueue) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
 }
+
+// Swap is that of heap.Interface.
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+
+// Push is that of heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop is that of heap.Interface.
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
--- a/internal/process/picker/view.go
+++ b/internal/process/picker/view.go
@@ -19,6 +19,21 @@
 	latencyMost     = 5 * time.Second  // bound of the smoothed latency
 	countError      = 1e-9             // more than the rounding error of a share of servers
 	failurePenalty  = 2.0              // factor on the smoothed latency of a failed answer
+	exploreInterval = 4                // requests, of which one at most goes to a server that seems slow
+	exploreRatio    = 2.0              // latency over the quickest server's from which one seems slow
+	exploreLoad     = 0.5              // load from which a server is not explored
+)
+
+// The waits between an ingress's trial requests to an ejected server. Each
+// refused trial doubles the wait, so that all ingresses together ask an ejected
+// server not much more often than it takes trials, however many they are.
+const (
+	trialLeast    = 250 * time.Millisecond // the least wait, which is the trial interval of a gate
+	trialMost     = 30 * time.Second       // the longest wait
+	trialShrink   = 4                      // divisor of the wait after a trial that was taken
+	trialReserved = time.Second            // time for which a due trial waits for an idempotent request
+	trialsEnough  = 8                      // trials taken in a row after which the ejection counts as over
+	ejectedLoad   = 1.0                    // load that an ejected server tells at least
 )
 
 // avoidance is how long a server is avoided for a reason, and how much worse
@@ -54,13 +69,19 @@
 	Heard       flow.Time
 	AvoidUntil  flow.Time
 	AvoidReason flow.Reason
-	unreachable int // failures to reach it in a row
+	Ejected     bool          // gets trial requests only
+	trialSpan   time.Duration // wait between two trials
+	trialSent   bool          // a trial is under way
+	trialsTaken int           // in a row
+	unreachable int           // failures to reach it in a row
 }
 
 // View remembers the backend servers of one service. Servers that it has not
 // seen count as idle and of unknown latency.
 type View struct {
-	servers map[string]*Server
+	servers   map[string]*Server
+	exploring string // server that is shown as quick; empty for none
+	unspent   int    // requests sent since the last one that explored
 }
 
 // NewView returns a View that has seen nothing.
@@ -70,14 +91,27 @@
 
 // Sent counts a request on its way to the server. Each call has to be followed
 // by one of Answered, Failed, Refused, Unreachable and Abandoned.
-func (v *View) Sent(_ flow.Time, server string) {
-	v.server(server).InFlight++
+func (v *View) Sent(now flow.Time, server string) {
+	s := v.server(server)
+	s.InFlight++
+	s.sendTrial(now)
+	v.unspent++
+	if server == v.exploring {
+		v.unspent = 0
+	}
 }
 
-// Answered takes a whole answer, its latency and the load that came with it.
+// Answered takes a whole answer, its latency and the load that came with it. An
+// answer to a trial request says only that the trial was taken.
 func (v *View) Answered(now flow.Time, server string, latency time.Duration, load float64) {
 	s := v.ended(server)
 	s.unreachable = 0
+	if s.Ejected && load >= ejectedLoad {
+		s.trialTaken(now)
+		return
+	}
+	s.Ejected = false
+	s.trialsTaken = 0
 	s.sample(now, latency)
 	s.heard(now, load)
 }
@@ -87,6 +121,10 @@
 // for failing quickly.
 func (v *View) Failed(now flow.Time, server string, latency time.Duration) {
 	s := v.ended(server)
+	if s.Ejected {
+		s.trialTaken(now)
+		return
+	}
 	s.sample(now, time.Duration(failurePenalty*float64(max(latency, s.latencyAt(now)))))
 }
 
@@ -103,12 +141,18 @@
 	if span <= 0 {
 		span = row.span
 	}
+	if reason == flow.ReasonEjected {
+		s.trialRefused(now, span)
+		return
+	}
+	s.Ejected = false
 	s.avoid(now, reason, span)
 }
 
 // Unreachable takes a failure to reach the server's daemon.
 func (v *View) Unreachable(now flow.Time, server string) {
 	s := v.ended(server)
+	s.Ejected = false
 	span := avoidances[flow.ReasonUnreachable].span << min(s.unreachable, 10)
 	s.unreachable++
 	s.avoid(now, flow.ReasonUnreachable, min(span, unreachableMost))
@@ -116,7 +160,7 @@
 
 // Abandoned takes the end of a request that says nothing of the server.
 func (v *View) Abandoned(_ flow.Time, server string) {
-	v.ended(server)
+	v.ended(server).trialSent = false
 }
 
 // Heard takes a load heard otherwise than with an answer.
@@ -151,26 +195,38 @@
 	SameZone bool
 }
 
+// Query asks for the candidates of a request.
+type Query struct {
+	Members    []Member
+	InService  int     // servers of the service in service
+	Floor      float64 // share of them that is left
+	Idempotent bool    // the request may be a trial
+}
+
 // Candidates appends a candidate for each member to list and returns it. It
-// avoids no more members than leave the floor, a share of inService, which is
-// the count of the service's servers in service: beyond that the least bad of
-// the avoided are given back.
-func (v *View) Candidates(now flow.Time, list []flow.Candidate, members []Member, inService int, floor float64) []flow.Candidate {
+// avoids no more members than leave the floor: beyond that the least bad of the
+// avoided are given back.
+func (v *View) Candidates(now flow.Time, list []flow.Candidate, query Query) []flow.Candidate {
 	start := len(list)
-	for _, m := range members {
-		list = append(list, v.candidate(now, m))
+	for _, m := range query.Members {
+		list = append(list, v.candidate(now, m, query.Idempotent))
 	}
-	v.restore(now, list[start:], int(math.Ceil(floor*float64(inService)-countError)))
+	v.explore(list[start:])
+	v.restore(now, list[start:], int(math.Ceil(query.Floor*float64(query.InService)-countError)))
 	return list
 }
 
-func (v *View) candidate(now flow.Time, m Member) flow.Candidate {
+func (v *View) candidate(now flow.Time, m Member, idempotent bool) flow.Candidate {
 	c := flow.Candidate{Server: m.Server, Host: m.Host, SameZone: m.SameZone}
 	s, ok := v.servers[m.Server]
 	if !ok {
 		return c
 	}
 	c.InFlight = s.InFlight
+	if s.Ejected {
+		c.Avoid = !s.mayTry(now, idempotent)
+		return c
+	}
 	c.Latency = s.latencyAt(now)
 	c.Load = s.Load * halved(now, s.Heard, loadHalfLife)
 	c.Avoid = now.Before(s.AvoidUntil)
@@ -208,6 +264,86 @@
 
 // -----------------------------------------------------------------------------
 
+// explore shows the slowest idle server of the own availability zone as the
+// quickest, for at most one request in exploreInterval. Choice by latency alone
+// would starve a server that seems slow, so that it could neither be judged nor
+// show that it has recovered.
+func (v *View) explore(list []flow.Candidate) {
+	v.exploring = ""
+	if v.unspent < exploreInterval {
+		return
+	}
+	quickest, slowest := time.Duration(0), -1
+	for i, c := range list {
+		if c.Avoid || c.Latency == 0 {
+			continue
+		}
+		if quickest == 0 || c.Latency < quickest {
+			quickest = c.Latency
+		}
+		idle := c.SameZone && c.InFlight == 0 && c.Load < exploreLoad
+		if idle && (slowest < 0 || c.Latency > list[slowest].Latency) {
+			slowest = i
+		}
+	}
+	if slowest < 0 || float64(list[slowest].Latency) < exploreRatio*float64(quickest) {
+		return
+	}
+	v.exploring = list[slowest].Server
+	list[slowest].Latency = time.Duration(float64(quickest) / exploreRatio)
+}
+
+// -----------------------------------------------------------------------------
+
+// mayTry reports whether a request may be a trial at an ejected server. One
+// that is not idempotent is refused as a trial, and goes there only to see
+// whether the ejection is over when no idempotent one did.
+func (s *Server) mayTry(now flow.Time, idempotent bool) bool {
+	if idempotent {
+		return !now.Before(s.AvoidUntil)
+	}
+	return !now.Before(s.AvoidUntil.Add(trialReserved))
+}
+
+// sendTrial holds back further trials while one is under way.
+func (s *Server) sendTrial(now flow.Time) {
+	if !s.Ejected {
+		return
+	}
+	s.trialSent = true
+	s.avoid(now, flow.ReasonEjected, s.trialSpan)
+}
+
+// trialTaken shortens the wait until the next trial. A server that takes many is
+// busy rather than ejected.
+func (s *Server) trialTaken(now flow.Time) {
+	s.trialSent = false
+	s.trialsTaken++
+	s.Ejected = s.trialsTaken < trialsEnough
+	s.trialSpan = max(trialLeast, s.trialSpan/trialShrink)
+	s.avoid(now, flow.ReasonEjected, s.trialSpan)
+}
+
+// trialRefused lengthens the wait until the next trial. It begins anew when the
+// server was not known to be ejected, whose latency the trials are to tell anew.
+func (s *Server) trialRefused(now flow.Time, first time.Duration) {
+	if s.Ejected && !s.trialSent {
+		return // sent before the refusal that told of the ejection
+	}
+	span := first
+	if s.Ejected || s.trialsTaken >= trialsEnough {
+		span = min(2*s.trialSpan, trialMost)
+	}
+	s.Ejected = true
+	s.Latency = 0
+	s.trialSent = false
+	s.trialsTaken = 0
+	s.trialSpan = span
+	s.avoid(now, flow.ReasonEjected, span)
+}
+
+// -----------------------------------------------------------------------------
+
 func (v *View) server(name string) *Server {
 	s, ok := v.servers[name]
 	if !ok {
--- a/internal/process/sender/sender.go
+++ b/internal/process/sender/sender.go
@@ -42,6 +42,7 @@
 		gate: admitter.New(admitter.Options{
 			Server:         server.Name,
 			Limiter:        limiter,
+			Slots:          server.Slots,
 			Connections:    server.Connections,
 			ConnectionCost: server.ConnectionCost,
 		}),
--- a/internal/request/receiver/send.go
+++ b/internal/request/receiver/send.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return nil, p.noCapacity("there is no service " + strconv.Quote(call.Route.Service))
 	}
-	choice, ok := p.Chooser.Choose(call.Snapshot, service, call.Tried)
+	choice, ok := p.Chooser.Choose(call.Snapshot, service, chooser.Request{Tried: call.Tried, Idempotent: call.Idempotent})
 	if !ok {
 		return nil, p.noCapacity("no backend server of the service takes new work")
 	}
--- a/pkg/flow/behaviour.go
+++ b/pkg/flow/behaviour.go
@@ -32,6 +32,9 @@
 	// Limit returns the number of requests that may run at once now; it is
 	// never above the server's slots and never below one.
 	Limit(now Time) int
+	// Warming reports whether a declared cold start lasts, in which the server
+	// is slower than it will be.
+	Warming(now Time) bool
 	// Observe records the end of one request that began at started, while
 	// inFlight requests ran including itself.
 	Observe(now, started Time, latency time.Duration, inFlight int, verdict Verdict)
@@ -62,6 +65,7 @@
 	Server   string        `msgpack:"s"`
 	Count    int           `msgpack:"c"` // requests that ended
 	Failures int           `msgpack:"f"` // of these, failed or timed out
+	Quick    time.Duration `msgpack:"q"` // 25th percentile of latency of good answers; 0 when unknown
 	Median   time.Duration `msgpack:"m"` // median latency of good answers
 	Slow     time.Duration `msgpack:"p"` // 90th percentile of latency of good answers
 }
