The measurements of capacity as a command, and the page of measurements

standin measure runs the 24 measurements behind docs/CAPACITY.md from one table, with sizes, repetitions, machine note and JSON.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,5 +21,6 @@
 		experimentCommand(),
 		compareCommand(),
 		plotCommand(),
+		measureCommand(),
 	}
 }
--- /dev/null
+++ b/cmd/standin/measure_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/commander"
+)
+
+func TestMeasure(t *testing.T) {
+	cases := map[string]struct {
+		args     string
+		code     int
+		out, err string
+	}{
+		"a list":                     {args: "--list", code: commander.ExitFine, out: "heartbeat  "},
+		"what there is to one":       {args: "--list spread", code: commander.ExitFine, out: "lost-percent  0"},
+		"a measurement at some size": {args: "--size hosts=3 --times 1 round", code: commander.ExitFine, out: "hosts=3  wall-time"},
+		"no name":                    {args: "", code: commander.ExitUsage, err: "no measurement is named"},
+		"an unknown name":            {args: "round weight", code: commander.ExitUsage, err: `no measurement "weight"`},
+		"an unknown name in a list":  {args: "--list weight", code: commander.ExitUsage, err: `no measurement "weight"`},
+		"an unknown parameter":       {args: "--size weight=3 round", code: commander.ExitUsage, err: `unknown parameter "weight"`},
+		"a size without a number":    {args: "--size hosts=many round", code: commander.ExitUsage, err: `"many" is not a whole number`},
+		"a size without a parameter": {args: "--size 27 round", code: commander.ExitUsage, err: "NAME=NUMBER"},
+		"a size out of bounds":       {args: "--size hosts=1 round", code: commander.ExitUsage, err: "hosts must be from 2"},
+		"a negative count":           {args: "--times -1 round", code: commander.ExitUsage, err: "negative"},
+		"no run":                     {args: "--runs 0 round", code: commander.ExitUsage, err: "there must be a run"},
+		"a program that is not there": {
+			args: "--program no-such --runs 1 --size hosts=1 in-force", code: commander.ExitFailed, err: "measure: in-force hosts=1: start: ",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, err bytes.Buffer
+			args := append([]string{"measure"}, strings.Fields(tc.args)...)
+			is.Equal(commander.Run(t.Context(), "standin", table(), args, commander.Streams{Out: &out, Err: &err}), tc.code)
+			is.True(strings.Contains(out.String(), tc.out))
+			is.True(strings.Contains(err.String(), tc.err))
+			if tc.code == commander.ExitUsage {
+				is.Equal(strings.Count(err.String(), "\n"), 1) // one clear error
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/measurer/rate.go
@@ -0,0 +1,366 @@
+// Rates: how many messages a request's token costs, by how the requests of a
+// customer are spread over the ingresses, and what a message costs.
+
+package measurer
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/drawer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/granter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/placer"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+)
+
+const (
+	// drawsPerSecond are the requests of one ingress: 500,000 a second over
+	// 2,700 daemons.
+	drawsPerSecond = 185
+	// simulated is the time that a simulation lasts on its own clock.
+	simulated = 20 * time.Second
+	// sweepInterval is the time between two sweeps, in milliseconds.
+	sweepInterval = 1000
+	// ownerDelay is the time to an owner and back, in milliseconds.
+	ownerDelay = 3
+	// runTime is the time that a request runs, in milliseconds.
+	runTime = 10
+	// rateShares is the most shares of a rate.
+	rateShares = 8
+	// fewCustomers is the number below which customers are large, with the same
+	// requests in all.
+	fewCustomers = 36
+)
+
+var (
+	// typicalLimit is a customer's rate in its region: twice what it uses.
+	typicalLimit = granter.Limit{MicrotokensPerSecond: 10_000_000, Burst: 20}
+	// largeLimit is that of a large customer.
+	largeLimit = granter.Limit{MicrotokensPerSecond: 100_000_000, Burst: 200}
+	// longTenure is that of an owner which has been one for long.
+	longTenure = granter.Tenure{Since: longBefore, Limit: typicalLimit}
+)
+
+func tokens() Measurement {
+	usual := int(drawer.DefaultSettings().Horizon.Milliseconds())
+	const long = 750
+	return Measurement{
+		Name: "tokens",
+		Help: "simulated: what the tokens of one ingress's 185 requests a second cost by its customers",
+		Parameters: []Parameter{
+			{"horizon-ms", "time for which a stock of tokens and of reports is held", 1, 10000},
+			{"customers", "customers whose requests come to the ingress", 1, 96000},
+		},
+		Sizes: []Size{
+			{"horizon-ms": usual, "customers": 4},
+			{"horizon-ms": usual, "customers": 36},
+			{"horizon-ms": usual, "customers": 107},
+			{"horizon-ms": usual, "customers": 960},
+			{"horizon-ms": usual, "customers": 24000},
+			{"horizon-ms": long, "customers": 4},
+			{"horizon-ms": long, "customers": 36},
+			{"horizon-ms": long, "customers": 107},
+			{"horizon-ms": long, "customers": 960},
+			{"horizon-ms": long, "customers": 24000},
+		},
+		Times: 1,
+		Figures: []Figure{
+			{"draws", "1/s", "requests"},
+			{"asks", "1/draw", "calls for tokens"},
+			{"reports", "1/draw", "calls that only report"},
+			{"waited", "1/draw", "requests that waited for a token"},
+			{"refused", "1/draw", "requests without a token"},
+			{"call-size", "B/call", "bytes of the frames of a call, both ways"},
+			{"bytes", "kB/s", "bytes of frames, both ways, as asker"},
+			{"pools", "pools", "customers with a stock at the end"},
+		},
+		Measure: measureTokens,
+	}
+}
+
+func measureTokens(ctx context.Context, t *Trial) error {
+	return t.Repeat(ctx, func() error {
+		s := newIngress(time.Duration(t.Size["horizon-ms"])*time.Millisecond, t.Size["customers"])
+		if err := s.run(ctx, t.Size["customers"]); err != nil {
+			return err
+		}
+		seconds, draws := simulated.Seconds(), float64(s.draws)
+		t.Report("draws", draws/seconds)
+		t.Report("asks", float64(s.asks)/draws)
+		t.Report("reports", float64(s.reports)/draws)
+		t.Report("waited", float64(s.waited)/draws)
+		t.Report("refused", float64(s.refused)/draws)
+		t.Report("call-size", s.bytes/float64(s.asks+s.reports))
+		t.Report("bytes", s.bytes/seconds/1e3)
+		t.Report("pools", float64(s.pools.Len()))
+		return nil
+	})
+}
+
+// -----------------------------------------------------------------------------
+
+// ingress simulates one ingress that draws from owners which serve nobody else.
+type ingress struct {
+	events
+	pools  *drawer.Drawer
+	owners *granter.Granter
+	due    map[string]flow.Time
+	limit  granter.Limit
+	shares int
+	failed error // the first failure to encode a message
+
+	draws, refused, waited, asks, reports int
+	bytes                                 float64
+}
+
+func newIngress(horizon time.Duration, customers int) *ingress {
+	settings := drawer.DefaultSettings()
+	settings.Averaging = max(settings.Averaging, 2*horizon)
+	settings.Horizon = horizon
+	settings.ReportDelay = horizon
+	limit := typicalLimit
+	if customers < fewCustomers {
+		limit = largeLimit
+	}
+	return &ingress{
+		pools:  drawer.New(settings),
+		owners: granter.New(granter.DefaultSettings()),
+		due:    map[string]flow.Time{},
+		limit:  limit,
+		shares: granter.ShareCount(limit, rateShares),
+	}
+}
+
+// run sends requests of the customers at random moments.
+func (s *ingress) run(ctx context.Context, customers int) error {
+	random := rand.New(rand.NewPCG(uint64(customers), 1))
+	var arrive func(now flow.Time)
+	at := 0.0
+	arrive = func(now flow.Time) {
+		s.draw(now, customerName(random.IntN(customers)))
+		at += random.ExpFloat64() * 1000 / drawsPerSecond
+		s.later(max(flow.Time(at), now), arrive)
+	}
+	s.later(0, arrive)
+	for sweepAt := flow.Time(sweepInterval); ; {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		next := s.next()
+		if next.at.Sub(0) > simulated {
+			return s.failed
+		}
+		if next.at >= sweepAt {
+			s.pools.Sweep(next.at)
+			s.owners.Sweep(next.at)
+			sweepAt += sweepInterval
+		}
+		next.run(next.at)
+	}
+}
+
+func (s *ingress) pool(customer string) *drawer.Pool {
+	return s.pools.Pool(drawer.Identity{
+		Customer: customer, Host: hostName(0), Incarnation: 1 << 60, Shares: s.shares, Limit: s.limit,
+	})
+}
+
+func (s *ingress) draw(now flow.Time, customer string) {
+	s.draws++
+	decision := s.pool(customer).Draw(now)
+	switch {
+	case decision.Taken:
+		s.taken(now, customer, decision.Token)
+	case decision.Wait:
+		s.waited++
+	default:
+		s.refused++
+	}
+	s.act(now, customer, drawer.Effects{Ask: decision.Ask})
+}
+
+func (s *ingress) taken(now flow.Time, customer string, token drawer.Token) {
+	s.later(now+runTime, func(now flow.Time) {
+		if pool, ok := s.pools.Find(customer); ok {
+			pool.Spent(now, token, 0)
+			s.act(now, customer, drawer.Effects{})
+		}
+	})
+}
+
+func (s *ingress) act(now flow.Time, customer string, effects drawer.Effects) {
+	for _, decided := range effects.Decided {
+		if decided.Decision.Taken {
+			s.taken(now, customer, decided.Decision.Token)
+		} else {
+			s.refused++
+		}
+	}
+	for _, request := range effects.Ask {
+		s.ask(now, customer, request)
+	}
+	pool, ok := s.pools.Find(customer)
+	if !ok {
+		return
+	}
+	due := pool.Due(now)
+	if before, planned := s.due[customer]; planned && before <= due {
+		return
+	}
+	s.due[customer] = due
+	s.later(due, func(now flow.Time) { s.tick(now, customer, due) })
+}
+
+func (s *ingress) tick(now flow.Time, customer string, due flow.Time) {
+	if s.due[customer] != due {
+		return
+	}
+	delete(s.due, customer)
+	if pool, ok := s.pools.Find(customer); ok {
+		s.act(now, customer, pool.Tick(now))
+	}
+}
+
+func (s *ingress) ask(now flow.Time, customer string, request granter.Request) {
+	if request.Want > 0 {
+		s.asks++
+	} else {
+		s.reports++
+	}
+	s.later(now+ownerDelay/2, func(now flow.Time) {
+		limit := granter.ShareLimit(s.limit, request.Share, request.Shares)
+		answer, ok := s.owners.Grant(now, granter.Tenure{Since: longBefore, Limit: limit}, request)
+		if !ok {
+			return
+		}
+		s.count(request, answer)
+		s.later(now+ownerDelay-ownerDelay/2, func(now flow.Time) {
+			if pool, ok := s.pools.Find(customer); ok {
+				s.act(now, customer, pool.Answered(now, answer))
+			}
+		})
+	})
+}
+
+// count counts the bytes of a call.
+func (s *ingress) count(request granter.Request, answer granter.Answer) {
+	asked, err := wireSize(messenger.CallDraw, false, request)
+	if err == nil {
+		s.bytes += asked
+		asked, err = wireSize(messenger.CallDraw, true, answer)
+		s.bytes += asked
+	}
+	if s.failed == nil {
+		s.failed = err
+	}
+}
+
+// -----------------------------------------------------------------------------
+
+func draw() Measurement {
+	return Measurement{
+		Name: "draw",
+		Help: "one request for a token over a control connection, both ends, with the lookup of the owner",
+		Parameters: []Parameter{
+			{"buckets", "shares of which the owner has a bucket", 1, 1000000},
+			{"hosts", "hosts of the region", 2, 2700},
+		},
+		Sizes:   []Size{{"buckets": 1000, "hosts": 675}},
+		Times:   1000,
+		Measure: measureDraw,
+	}
+}
+
+func measureDraw(ctx context.Context, t *Trial) error {
+	owner := granter.New(granter.DefaultSettings())
+	granting := startControl()
+	defer close(granting)
+	started := time.Now()
+	serve := func(_ context.Context, request any) (any, error) {
+		var asked granter.Request
+		if err := decode(request, &asked); err != nil {
+			return nil, err
+		}
+		var answer granter.Answer
+		granting.do(func() {
+			now := flow.Time(time.Since(started).Milliseconds())
+			answer, _ = owner.Grant(now, longTenure, asked)
+		})
+		return &answer, nil
+	}
+	ranking := placer.NewRanking(listOf(t.Size["hosts"]))
+	return serveWhile(ctx, messenger.CallDraw, serve, func(d *dialer.Dialer, address string) error {
+		sequence := uint64(0)
+		call := func() error {
+			sequence++
+			return drawOnce(ctx, d, address, ranking, sequence, t.Size["buckets"])
+		}
+		if err := call(); err != nil {
+			return err
+		}
+		return t.Repeat(ctx, call)
+	})
+}
+
+// drawOnce asks for one token by a goroutine of its own, as a daemon does.
+func drawOnce(ctx context.Context, d *dialer.Dialer, address string, ranking *placer.Ranking, sequence uint64, buckets int) error {
+	customer := customerName(int(sequence % uint64(buckets)))
+	ranking.FirstTwo("rate/" + customer + "/2/0")
+	request := granter.Request{
+		Customer: customer, Shares: 2, Asker: hostName(0), Incarnation: 1 << 60,
+		Sequence: sequence, Answered: sequence - 1, Want: 1, Waiting: 1,
+	}
+	ended := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var answer granter.Answer
+		ended <- d.Call(ctx, address, messenger.CallDraw, request, &answer)
+	}()
+	return <-ended
+}
+
+// -----------------------------------------------------------------------------
+
+func pools() Measurement {
+	return Measurement{
+		Name:       "pools",
+		Help:       "the memory of a pool that has drawn and of a bucket that has granted",
+		Parameters: []Parameter{{"count", "pools", 1, 1000000}},
+		Sizes:      []Size{{"count": 10000}},
+		Times:      1,
+		Figures: []Figure{
+			{"pool", "B", "what an ingress keeps for a customer"},
+			{"bucket", "B", "what an owner keeps for a share"},
+		},
+		Measure: measurePools,
+	}
+}
+
+func measurePools(ctx context.Context, t *Trial) error {
+	count := t.Size["count"]
+	return t.Repeat(ctx, func() error {
+		before := liveMemory()
+		pools := drawer.New(drawer.DefaultSettings())
+		owners := granter.New(granter.DefaultSettings())
+		var requests []granter.Request
+		for i := range count {
+			pool := pools.Pool(drawer.Identity{Customer: customerName(i), Host: hostName(0), Incarnation: 1 << 60, Shares: 2, Limit: typicalLimit})
+			requests = append(requests, pool.Draw(1).Ask...)
+		}
+		held := liveMemory()
+		t.Report("pool", (held-before)/float64(count))
+		for _, request := range requests {
+			owners.Grant(2, longTenure, request)
+		}
+		t.Report("bucket", (liveMemory()-held)/float64(len(requests)))
+		runtime.KeepAlive(pools)
+		runtime.KeepAlive(owners)
+		runtime.KeepAlive(requests)
+		return nil
+	})
+}
