An ejection ends with the owner's answer

Change: the answer to a later report that does not name a server releases it; answers are ordered by when their reports were sent. Ruled out: harm to the floor (a release only adds capacity); answers out of order (an older one changes nothing).

--- a/internal/process/controller/configuration.go
+++ b/internal/process/controller/configuration.go
@@ -209,7 +209,7 @@
 // ejections ask for.
 func (c *Controller) setServing(now flow.Time, s *sender.Sender, entry indexer.ServerEntry) {
 	state := admitter.StateServing
-	if until, ok := c.ejected[entry.Server.Name]; ok && now.Before(until) {
+	if held, ok := c.ejected[entry.Server.Name]; ok && now.Before(held.until) {
 		state = admitter.StateEjected
 	}
 	if s.Server() != *entry.Server {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -77,7 +77,7 @@
 
 	senders   map[string]*sender.Sender // replaced as a whole, never changed
 	renewing  bool                      // a sender waits to be replaced
-	ejected   map[string]flow.Time      // end of the ejection lease by backend server
+	ejected   map[string]ejectionLease  // by backend server
 	inService map[string]serviceSize    // by service of the own backend servers
 	status    prover.Status
 	unproved  map[string]bool // never changed once set
@@ -139,7 +139,7 @@
 		ejectors:  map[string]*ejectorOf{},
 		duty:      reader.NewDuty(settings.Reading.ReadersPerZone, settings.Reading.PlatformCallsPerSecond, parts.Random),
 		senders:   map[string]*sender.Sender{},
-		ejected:   map[string]flow.Time{},
+		ejected:   map[string]ejectionLease{},
 		inService: map[string]serviceSize{},
 		zoneOut:   flow.Never,
 		asking:    map[string]bool{},
--- a/internal/process/controller/ejections.go
+++ b/internal/process/controller/ejections.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
@@ -71,10 +72,19 @@
 			c.Log.V(1).Info("report was not answered", "step", "report", "service", request.Service, "cause", err.Error())
 			return
 		}
-		c.post(c.ctx, func() { c.eject(sentAt, answer.Ejections) })
+		c.post(c.ctx, func() {
+			c.release(sentAt, request.Reports, answer.Ejections)
+			c.eject(sentAt, answer.Ejections)
+		})
 	})
 }
 
+// ejectionLease is the right to keep work from a backend server.
+type ejectionLease struct {
+	askedAt flow.Time // when the report was sent that it was granted for
+	until   flow.Time
+}
+
 // eject puts the ejections of an answer into force, from when the report was
 // sent.
 func (c *Controller) eject(sentAt flow.Time, ejections []flow.Ejection) {
@@ -84,14 +94,31 @@
 		if !now.Before(until) || c.askedTooEarly(sentAt, ejection.Server) {
 			continue
 		}
-		if _, already := c.ejected[ejection.Server]; !already {
+		held, already := c.ejected[ejection.Server]
+		if !already {
 			c.Log.Info("backend server ejected", "server", ejection.Server, "reason", ejection.Reason)
 		}
-		c.ejected[ejection.Server] = max(until, c.ejected[ejection.Server])
+		if !already || sentAt.After(held.askedAt) {
+			c.ejected[ejection.Server] = ejectionLease{askedAt: sentAt, until: until}
+		}
 	}
 	c.setAllServing(now)
 }
 
+// release ends the ejections of the reported backend servers that the owner did
+// not renew in its answer to a later report.
+func (c *Controller) release(sentAt flow.Time, reports []flow.ServerReport, renewed []flow.Ejection) {
+	for _, report := range reports {
+		held, ok := c.ejected[report.Server]
+		isRenewed := func(e flow.Ejection) bool { return e.Server == report.Server }
+		if !ok || !sentAt.After(held.askedAt) || slices.ContainsFunc(renewed, isRenewed) {
+			continue
+		}
+		delete(c.ejected, report.Server)
+		c.Log.Info("ejection of backend server ended", "server", report.Server)
+	}
+}
+
 // askedTooEarly reports whether an ejection was asked for before the backend
 // servers of the service became fewer.
 func (c *Controller) askedTooEarly(sentAt flow.Time, server string) bool {
@@ -132,8 +159,8 @@
 // endEjections brings backend servers back whose ejection lease has run out.
 func (c *Controller) endEjections(now flow.Time) {
 	ended := false
-	for server, until := range c.ejected {
-		if now.Before(until) {
+	for server, held := range c.ejected {
+		if now.Before(held.until) {
 			continue
 		}
 		delete(c.ejected, server)
