Decode messages of other daemons only after a check of their structure

Cause: the codec skips unknown fields by recursion without a bound. 8 MB of nested arrays in one field that the receiver does not know overflowed the stack, which ends the process and cannot be recovered; the limit of a data frame is 80 MiB. The codec also allocates by declared lengths. The data connections did not recover from the codec's panics at all.

Change: package decoder walks a message without recursion first (depth 32, no more elements than bytes), then decodes, and turns a panic into an error. The handshake, control and data connections and packed configurations use it. A malformed message on a data connection closes it with one log line.

Test first: TestMalformedMessageClosesItsConnection ended the test process with 'fatal error: stack overflow' before, and passes now.

--- a/internal/connection/framer/handshake.go
+++ b/internal/connection/framer/handshake.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -170,7 +171,7 @@
 		return hello{}, err
 	}
 	var h hello
-	if err := msgpack.Unmarshal(payload, &h); err != nil {
+	if err := decoder.Unmarshal(payload, &h); err != nil {
 		return hello{}, Error.New("malformed hello: %v", err)
 	}
 	if h.Version != protocolVersion {
--- a/internal/connection/messenger/envelope.go
+++ b/internal/connection/messenger/envelope.go
@@ -5,6 +5,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/errs"
+
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 )
 
 // Error is the class of errors of malformed messages.
@@ -81,9 +83,9 @@
 }
 
 // Decode decodes the payload of a frame. The error is of the class Error.
-func Decode(payload []byte) (envelope Envelope, err error) {
-	defer recoverDecode(&err)
-	if err := msgpack.Unmarshal(payload, &envelope); err != nil {
+func Decode(payload []byte) (Envelope, error) {
+	var envelope Envelope
+	if err := decoder.Unmarshal(payload, &envelope); err != nil {
 		return Envelope{}, Error.New("decode envelope: %v", err)
 	}
 	if !envelope.Call.Known() {
@@ -94,17 +96,9 @@
 
 // DecodeBody decodes the body of an envelope into target, which is a pointer. The error
 // is of the class Error.
-func DecodeBody(envelope Envelope, target any) (err error) {
-	defer recoverDecode(&err)
-	if err := msgpack.Unmarshal(envelope.Body, target); err != nil {
+func DecodeBody(envelope Envelope, target any) error {
+	if err := decoder.Unmarshal(envelope.Body, target); err != nil {
 		return Error.New("decode %s: %v", envelope.Call, err)
 	}
 	return nil
 }
-
-// recoverDecode turns a panic into an error. Malformed input can make the codec panic.
-func recoverDecode(err *error) {
-	if cause := recover(); cause != nil {
-		*err = Error.New("decode: %v", cause)
-	}
-}
--- a/internal/connection/transporter/message.go
+++ b/internal/connection/transporter/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -80,5 +81,5 @@
 
 func decode(payload []byte) (*message, error) {
 	m := &message{}
-	return m, msgpack.Unmarshal(payload, m)
+	return m, decoder.Unmarshal(payload, m)
 }
--- a/internal/connection/transporter/server.go
+++ b/internal/connection/transporter/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -88,17 +89,20 @@
 	messages := make(chan *message)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go readMessages(ctx, cancel, conn, messages)
+	go s.readMessages(ctx, cancel, conn, messages)
 	for s.serveOffer(ctx, conn, messages) {
 	}
 }
 
 // readMessages reads messages into a channel until the connection ends, and then cancels
 // the context, so that a request is cancelled when its ingress is gone.
-func readMessages(ctx context.Context, cancel context.CancelFunc, conn *framer.Conn, messages chan<- *message) {
+func (s *Server) readMessages(ctx context.Context, cancel context.CancelFunc, conn *framer.Conn, messages chan<- *message) {
 	defer cancel()
 	for {
 		m, err := receive(conn, serverIdleTimeout)
+		if decoder.Error.Has(err) {
+			s.Log.Info("connection closed after a malformed message", "step", "read-offers", "peer", conn.Peer().Host, "cause", err.Error())
+		}
 		if err != nil {
 			return
 		}
--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -1,6 +1,7 @@
 package transporter_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -278,3 +280,41 @@
 	is.NoErr(err)
 	attempt.Abandon()
 }
+
+// TestMalformedMessageClosesItsConnection checks that a malformed message of one daemon
+// closes its connection and has no effect on others. Deeply nested input once overflowed
+// the stack, which ends the process.
+func TestMalformedMessageClosesItsConnection(t *testing.T) {
+	cases := map[string][]byte{
+		"nested deeply in an unknown field": append([]byte{0x81, 0xa1, 'u'}, bytes.Repeat([]byte{0x91}, 8<<20)...),
+		"table of an impossible size":       {0x81, 0xa1, 'h', 0xdf, 0xff, 0xff, 0xff, 0xff},
+		"not msgpack":                       {0xc1},
+	}
+	for name, malformed := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			large := options
+			large.MaxPayloadBytes = 80 << 20
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := &transporter.Server{Options: large, Executor: &stubExecutor{}, Log: logr.Discard()}
+			go func() { _ = server.Serve(t.Context(), listener) }()
+
+			raw, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			conn, err := framer.Client(raw, large)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.Write(malformed))
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(waitLimit)))
+			_, err = conn.Read()
+			is.True(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
+
+			attempt, err := transporter.NewClient(large).Offer(t.Context(), listener.Addr().String(), &transporter.Offer{ID: "1"}, func() {})
+			is.NoErr(err)
+			answer, err := attempt.Run(t.Context(), &transporter.Request{Body: []byte("body")})
+			is.NoErr(err)
+			is.NoErr(answer.Body.Close())
+		})
+	}
+}
--- a/internal/process/follower/pack.go
+++ b/internal/process/follower/pack.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -50,7 +51,7 @@
 		return nil, errTooLarge
 	}
 	configuration := &flow.Configuration{}
-	return configuration, msgpack.Unmarshal(encoded, configuration)
+	return configuration, decoder.Unmarshal(encoded, configuration)
 }
 
 // addBothForms gives every configuration of an update its plain and its packed form.
