Follower: another source is asked while a transfer hangs

Cause: a daemon that had heard of a new configuration waited up to 3 s for the peer that announced it.

Change: after 0.7 s the peer counts as silent and the next source is asked; the transfer goes on in the background and is applied if it ends well, since a slow link is no silent one. Catalogs are handed on in the order in which they are built. Sum of the worst case: announcement 0.06 s, 0.7 s, a second silent peer 0.6 s, the store 0.35 s.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -37,6 +37,10 @@
 	// configurationTimeout bounds the transfer of a configuration, which takes long
 	// on a slow link.
 	configurationTimeout = 3 * time.Second
+	// transferPatience is how long a transfer may take before another source is asked
+	// as well. The peer may have fallen silent, and the time until a configuration
+	// must be in force is shorter than configurationTimeout.
+	transferPatience = 700 * time.Millisecond
 	// coalesceDelay is the pause after changes, so that those of a burst arrive in
 	// one update.
 	coalesceDelay = 60 * time.Millisecond
@@ -72,6 +76,9 @@
 	changed    chan struct{} // closed and replaced to wake waiting fetches
 	recentPeer string        // IP address of a daemon that connected recently
 	sourceLost bool          // the platform could not be read, and no peer with a source has been found since
+
+	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
+	transfers  sync.WaitGroup // transfers of configurations in progress
 }
 
 // New returns a Follower with an empty catalog.
@@ -96,6 +103,7 @@
 	var expiring sync.WaitGroup
 	expiring.Go(func() { f.expireLapsed(ctx) })
 	defer expiring.Wait()
+	defer f.transfers.Wait()
 	selector := newSourceSelector(f.Host)
 	for ctx.Err() == nil {
 		peer := selector.nextSource(f.Clock.Now(), f.hosts(true), f.hosts(false))
@@ -174,41 +182,77 @@
 
 func (f *Follower) readPeer(ctx context.Context, selector *sourceSelector, peer string) {
 	sentAt := f.Clock.Now()
-	update, err := f.fetch(ctx, peer)
-	now := f.Clock.Now()
-	if err != nil {
-		if ctx.Err() == nil {
-			f.Log.Info("peer did not answer the fetch", "step", "fetch", "peer", peer, "cause", err.Error(), "age-ms", f.Age().Milliseconds())
-		}
-		selector.markSilent(now, peer)
+	request := FetchRequest{After: f.revision(), WaitMs: peerWatchWait.Milliseconds()}
+	answer, err := f.call(ctx, peer, request, peerWatchWait+peerAnswerMargin)
+	if err == nil && answer.Large {
+		f.readConfiguration(ctx, selector, peer, request)
 		return
 	}
-	selector.markAnswered()
-	switch {
-	case update.SourceLost || update.Age > staleAge:
-		selector.markStale(now, peer)
-	default:
-		f.setSourceLost(false)
+	if err != nil {
+		f.markPeerSilent(ctx, selector, peer, err)
+		return
 	}
-	update.Age += min(now.Sub(sentAt), peerAnswerMargin)
+	update := answer.Update
+	f.markPeerAnswered(selector, peer, update)
+	update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
 	f.apply(ctx, peer, update)
-	if now.Sub(sentAt) < coalesceDelay {
+	if f.Clock.Now().Sub(sentAt) < coalesceDelay {
 		flow.Sleep(ctx, coalesceDelay) // a peer that answers at once has not waited for changes
 	}
 }
 
-// fetch asks a peer for changes, and for the configuration if the answer announces
-// one.
-func (f *Follower) fetch(ctx context.Context, peer string) (flow.Update, error) {
-	request := FetchRequest{After: f.revision(), WaitMs: peerWatchWait.Milliseconds()}
-	answer, err := f.call(ctx, peer, request, peerWatchWait+peerAnswerMargin)
-	if err == nil && answer.Large {
-		request.Large = true
+// readConfiguration gets a configuration that a peer has announced. If the transfer
+// takes long, it goes on in the background, and the peer counts as silent.
+func (f *Follower) readConfiguration(ctx context.Context, selector *sourceSelector, peer string, request FetchRequest) {
+	request.Large = true
+	type result struct {
+		update flow.Update
+		err    error
+	}
+	finished := make(chan result, 1)
+	f.transfers.Go(func() {
 		sentAt := f.Clock.Now()
-		answer, err = f.call(ctx, peer, request, configurationTimeout)
-		answer.Update.Age += f.Clock.Now().Sub(sentAt)
+		answer, err := f.call(ctx, peer, request, configurationTimeout)
+		if err == nil {
+			answer.Update.Age += f.Clock.Now().Sub(sentAt)
+			f.apply(ctx, peer, answer.Update)
+		}
+		finished <- result{answer.Update, err}
+	})
+	patience := time.NewTimer(transferPatience)
+	defer patience.Stop()
+	select {
+	case r := <-finished:
+		if r.err != nil {
+			f.markPeerSilent(ctx, selector, peer, r.err)
+			return
+		}
+		f.markPeerAnswered(selector, peer, r.update)
+	case <-patience.C:
+		f.markPeerSilent(ctx, selector, peer, errSlowTransfer)
+	}
+}
+
+// errSlowTransfer is the cause when a peer counts as silent while it sends a
+// configuration.
+var errSlowTransfer = errors.New("the transfer of the configuration takes long and goes on in the background")
+
+func (f *Follower) markPeerSilent(ctx context.Context, selector *sourceSelector, peer string, cause error) {
+	if ctx.Err() == nil {
+		f.Log.Info("peer did not answer the fetch", "step", "fetch", "peer", peer, "cause", cause.Error(), "age-ms", f.Age().Milliseconds())
 	}
-	return answer.Update, err
+	selector.markSilent(f.Clock.Now(), peer)
+}
+
+// markPeerAnswered records an answer. A peer that is not current itself is skipped for
+// a while.
+func (f *Follower) markPeerAnswered(selector *sourceSelector, peer string, update flow.Update) {
+	selector.markAnswered()
+	if update.SourceLost || update.Age > staleAge {
+		selector.markStale(f.Clock.Now(), peer)
+		return
+	}
+	f.setSourceLost(false)
 }
 
 func (f *Follower) call(ctx context.Context, peer string, request FetchRequest, within time.Duration) (FetchAnswer, error) {
@@ -266,7 +310,10 @@
 	flow.Sleep(ctx, coalesceDelay)
 }
 
+// publish builds the catalog from the state and hands it on.
 func (f *Follower) publish() {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
 	f.mu.Lock()
 	configuration, servers, zonesOut := f.state.InForce()
 	catalog := cataloger.Build(f.state.Revision(), configuration, servers, zonesOut)
