Odd entries of other writers name no server and no host

A readable entry with a service that no configuration names made its address a host, and hosts are the readers of the platform and the owners of customers' rates.

--- a/internal/version/cataloger/cataloger.go
+++ b/internal/version/cataloger/cataloger.go
@@ -23,6 +23,7 @@
 
 	routes            map[string][]*flow.RouteRule // by host, longest prefix first
 	services          map[string]*flow.ServiceRule
+	routedServices    map[string]bool // services that a route names
 	customers         map[string]*flow.CustomerRule
 	customerByKey     map[string]*flow.CustomerRule
 	eligible          map[string][]*flow.ServerEntry // that accept new requests, by service; sorted by ID
@@ -40,6 +41,7 @@
 		Revision:          revision,
 		routes:            map[string][]*flow.RouteRule{},
 		services:          map[string]*flow.ServiceRule{},
+		routedServices:    map[string]bool{},
 		customers:         map[string]*flow.CustomerRule{},
 		customerByKey:     map[string]*flow.CustomerRule{},
 		eligible:          map[string][]*flow.ServerEntry{},
@@ -62,6 +64,9 @@
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		c.routes[route.Host] = append(c.routes[route.Host], route)
+		for _, part := range route.Split {
+			c.routedServices[part.Service] = true
+		}
 	}
 	for _, routes := range c.routes {
 		slices.SortFunc(routes, func(a, b *flow.RouteRule) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -78,10 +83,18 @@
 	}
 }
 
+// namesService reports whether the configuration declares a service or routes to it.
+func (c *Catalog) namesService(name string) bool {
+	return c.services[name] != nil || c.routedServices[name]
+}
+
 // indexServers keeps only the newest process of each address, since a process
 // that has ended may stay listed for some seconds.
 func (c *Catalog) indexServers(servers []*flow.ServerEntry) {
 	for _, server := range servers {
+		if c.Ready() && !c.namesService(server.Service) {
+			continue // an entry of another writer, or of a service that was removed
+		}
 		if newest, ok := c.byAddress[server.Address]; !ok || newest.StartedUnixMs < server.StartedUnixMs {
 			c.byAddress[server.Address] = server
 		}
--- a/internal/version/cataloger/cataloger_test.go
+++ b/internal/version/cataloger/cataloger_test.go
@@ -70,3 +70,19 @@
 	is.Equal(catalog.CustomerByKey("withdrawn"), nil)
 	is.True(!cataloger.Build(1, &flow.Configuration{Version: 1}, nil, nil).KeysRequired)
 }
+
+// TestEntryOfUnknownServiceIsNoHost checks that a readable entry of another writer, with
+// a service that no configuration names, does not become a host: hosts are the readers
+// of the platform and the owners of customers' rates.
+func TestEntryOfUnknownServiceIsNoHost(t *testing.T) {
+	is := is.New(t)
+	servers := []*flow.ServerEntry{
+		{ID: "good", Service: "stock", Address: "10.0.0.1:80", Host: "10.0.0.1", Zone: "a", StartedUnixMs: 1},
+		{ID: "odd", Service: "nobody", Address: "10.9.9.9:80", Host: "10.9.9.9", Zone: "a", StartedUnixMs: 1},
+		{ID: "over", Service: "nobody", Address: "10.0.0.1:80", Host: "10.0.0.1", Zone: "a", StartedUnixMs: 2},
+	}
+	catalog := cataloger.Build(7, &flow.Configuration{Version: 1, Services: []flow.ServiceRule{{Name: "stock"}}}, servers, nil)
+	is.Equal(catalog.Hosts(), []string{"10.0.0.1"})
+	is.Equal(catalog.ServerAt("10.0.0.1:80").ID, "good")
+	is.Equal(catalog.ServerAt("10.9.9.9:80"), nil)
+}
