Executor: a stopping daemon refuses the offers that wait for a slot

Cause: after 2.8 s of a stop the daemon refused new offers, but went on granting slots to those that waited, until its end, where the request was cut.

Change: the waiting offers are refused as not run at that moment, so that their ingress tries another server while time is left.

Test first: TestStopRefusesWaitingOffers (the waiting offer got the slot before).

--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -108,11 +108,21 @@
 	}
 }
 
-// Stop makes the executor refuse all further offers.
+// Stop makes the executor refuse the waiting offers and all further ones. A request
+// that started late in the stop of the daemon would be cut at its end.
 func (e *Executor) Stop() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopping = true
+	e.refuseAllWaiting(e.stoppingRefusal())
+}
+
+func (e *Executor) stoppingRefusal() *flow.Refusal {
+	return e.newRefusal(flow.ReasonStopping, stepAdmit, "the daemon is stopping")
+}
+
+func (e *Executor) leavingRefusal() *flow.Refusal {
+	return e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server takes no new work")
 }
 
 // CallFailed records that a call made by the backend server failed. A failure
@@ -140,12 +150,12 @@
 	defer e.mu.Unlock()
 	entry := catalog.ServerAt(e.Address)
 	if entry == nil {
-		e.refuseAllWaiting()
+		e.refuseAllWaiting(e.leavingRefusal())
 		return
 	}
 	e.applyEntry(catalog, entry)
 	if !catalog.AcceptsNewRequests(entry.ID, entry.Address) {
-		e.refuseAllWaiting()
+		e.refuseAllWaiting(e.leavingRefusal())
 	}
 }
 
@@ -168,8 +178,8 @@
 }
 
 // refuseAllWaiting refuses all waiting offers. The mutex must be held.
-func (e *Executor) refuseAllWaiting() {
-	e.refuseWaiting(func(waiter) bool { return true }, e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server takes no new work"))
+func (e *Executor) refuseAllWaiting(refusal *flow.Refusal) {
+	e.refuseWaiting(func(waiter) bool { return true }, refusal)
 }
 
 // refuseWaiting refuses the waiting offers that match. The mutex must be held.
@@ -253,13 +263,13 @@
 	entry := catalog.ServerAt(e.Address)
 	switch {
 	case e.stopping:
-		return e.newRefusal(flow.ReasonStopping, stepAdmit, "the daemon is stopping")
+		return e.stoppingRefusal()
 	case offer.Server == e.endedServer:
 		return e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server has ended")
 	case entry == nil || entry.ID != offer.Server:
 		return e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server is not listed on this host")
 	case !catalog.AcceptsNewRequests(entry.ID, entry.Address):
-		return e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server takes no new work")
+		return e.leavingRefusal()
 	}
 	if e.server != entry.ID {
 		e.applyEntry(catalog, entry)
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -302,6 +302,35 @@
 	is.True(refusal.NotRun())
 }
 
+// TestStopRefusesWaitingOffers stops the executor while an offer waits for a slot. It
+// must be refused, so that its ingress tries another server: a request that got a slot
+// late in the stop would be cut when the daemon ends.
+func TestStopRefusesWaitingOffers(t *testing.T) {
+	for name, forced := range map[string]bool{"offer": false, "forced offer": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackendServer(t, nil)
+			f := newFixture(t, b.address, 1)
+			running, err := f.Admit(t.Context(), newOffer(), func() {})
+			is.NoErr(err)
+			waiting, decided := make(chan struct{}), make(chan error, 1)
+			go func() {
+				offer := newOffer()
+				offer.MayWait, offer.Forced, offer.TimeToTarget, offer.TimeLeft = true, forced, time.Minute, time.Minute
+				_, err := f.Admit(context.Background(), offer, func() { close(waiting) })
+				decided <- err
+			}()
+			<-waiting
+			f.Stop()
+			running.Release() // its slot must not go to the waiting offer
+			refusal, ok := flow.AsRefusal(<-decided)
+			is.True(ok)
+			is.Equal(refusal.Reason, flow.ReasonStopping)
+			is.True(refusal.NotRun())
+		})
+	}
+}
+
 // TestSuspectedServerRefusesWaitingOffers has a request fail while another
 // offer is waiting. That offer must be refused, so that its ingress tries
 // another server; otherwise all waiting requests would fail one after the
