Executor: bound the head of a backend server's response

Cause: the transport's default lets each running request hold a head of 10 MB. A server in trouble that sends a head without end could take twelve times that on a host of 184 MB, which ends the daemon.

Change: heads of up to 256 KiB.

--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -34,6 +34,9 @@
 	// It is well below the shortest idle timeout of backend servers, so that
 	// they do not close a connection that is about to be reused.
 	idleTimeout = 4 * time.Second
+	// maxResponseHeaderBytes limits the head of a response, since each running
+	// request may hold that much memory while a failing server sends without end.
+	maxResponseHeaderBytes = 256 << 10
 	// queueCheckInterval is how often the queue is checked while no request
 	// ends, such as when the server hangs.
 	queueCheckInterval = 100 * time.Millisecond
@@ -100,6 +103,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		scheduler: scheduler.New(1),
 		breaker:   estimator.NewBreaker(parts.Clock.Now()),
