Sidecar settings: fractions for slacks and memory

Change: retry-slack and rate-slack are numbers, and a byte size may have a fraction.

Test first: TestSidecarSettingsTakeFractions.

--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -191,7 +191,7 @@
 		host:      host,
 		peerPort:  peerPort,
 		overage:   settings.Sidecar.RateOverage,
-		slack:     float64(settings.Sidecar.RateSlack),
+		slack:     settings.Sidecar.RateSlack,
 		retryRate: s.retryBudget().PoolRate(),
 		dialer:    callDialer,
 		clock:     s.clock,
@@ -251,7 +251,7 @@
 // retryBudget returns the retry budget that all daemons share.
 func (s *Sidecar) retryBudget() ratelimiter.RetryBudget {
 	settings := s.settings.Sidecar
-	return ratelimiter.RetryBudget{Share: settings.RetryShare, Slack: float64(settings.RetrySlack), Window: settings.RetryWindow}
+	return ratelimiter.RetryBudget{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
 }
 
 // localRetryOptions returns the part of the retry budget that one of a number
--- a/pkg/parser/settings_test.go
+++ b/pkg/parser/settings_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// TestSidecarSettingsTakeFractions checks the settings that the deployment template fills
+// with figures of the platform, which may be fractions. A daemon that rejects one does
+// not start.
+func TestSidecarSettingsTakeFractions(t *testing.T) {
+	is := is.New(t)
+	settings, faults := parser.ParseSidecarSettings("file", []byte(`{
+  "host": "host-1", "availability-zone": "a", "service": "stock",
+  "backend-server": "10.0.0.1:80", "caller-address": "10.0.0.1:81", "data-address": "10.0.0.1:82",
+  "peer-address": "10.0.0.1:83", "operator-address": "10.0.0.1:84", "readiness-address": "10.0.0.1:85",
+  "store": "10.0.0.9:80", "secret": "a secret of 16 bytes", "retry-share": 0.25, "retry-slack": 25.2, "retry-window": "10.5s",
+  "rate-overage": 0.25, "rate-slack": 20.5, "oldest-proof": "5.5s", "stop-grace": "6.25s", "memory": "184.5MiB",
+}`))
+	is.Equal(len(faults), 0)
+	is.Equal(settings.Sidecar.RetrySlack, 25.2)
+	is.Equal(settings.Sidecar.RateSlack, 20.5)
+	is.Equal(settings.Sidecar.StopGrace, 6250*time.Millisecond)
+	is.Equal(settings.Sidecar.Memory, 369*parser.MiB/2)
+}
+
 func TestReadSettingsErrorNamesFile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "none")
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -13,10 +13,10 @@
 	Readiness     string // address for the platform's readiness checks, ip:port
 
 	RetryShare  float64 // maximum ratio of retries to requests, over all daemons
-	RetrySlack  int     // retries allowed in a window beyond RetryShare, over all daemons
+	RetrySlack  float64 // retries allowed in a window beyond RetryShare, over all daemons
 	RetryWindow time.Duration
 	RateOverage float64       // share of a customer's rate that may be admitted beyond the rate
-	RateSlack   int           // burst of requests that may be admitted in addition to RateOverage
+	RateSlack   float64       // burst of requests that may be admitted in addition to RateOverage
 	MaxProofAge time.Duration // proof age from which requests are refused; 0 for never
 	StopGrace   time.Duration // time from the signal to stop until the process must have ended
 
@@ -89,7 +89,7 @@
 		target: func(s *Settings) any { return &s.Sidecar.RetryShare },
 	},
 	{
-		Name: "retry-slack", Type: SettingInteger, Default: "20", Min: "0", Max: "100000",
+		Name: "retry-slack", Type: SettingNumber, Default: "20", Min: "0", Max: "100000",
 		Help:   "Retries in a window beyond the share, over all daemons.",
 		target: func(s *Settings) any { return &s.Sidecar.RetrySlack },
 	},
@@ -104,7 +104,7 @@
 		target: func(s *Settings) any { return &s.Sidecar.RateOverage },
 	},
 	{
-		Name: "rate-slack", Type: SettingInteger, Default: "0", Min: "0", Max: "100000",
+		Name: "rate-slack", Type: SettingNumber, Default: "0", Min: "0", Max: "100000",
 		Help:   "Requests that may be admitted in addition to the overage while the owner of a customer's bucket is out of reach.",
 		target: func(s *Settings) any { return &s.Sidecar.RateSlack },
 	},
--- a/pkg/parser/value.go
+++ b/pkg/parser/value.go
@@ -370,12 +370,24 @@
 		if !ok {
 			continue
 		}
-		number, err := strconv.ParseUint(digits, 10, 31)
-		return ByteSize(number) * unit.size, err == nil
+		if number, err := strconv.ParseUint(digits, 10, 31); err == nil {
+			return ByteSize(number) * unit.size, true
+		}
+		whole, fraction, ok := strings.Cut(digits, ".")
+		if !ok || unit.size == 1 || !isDigits(whole) || !isDigits(fraction) {
+			return 0, false
+		}
+		number, err := strconv.ParseFloat(digits, 64)
+		return ByteSize(number * float64(unit.size)), err == nil && number < math.MaxInt32
 	}
 	return 0, false
 }
 
+// isDigits reports whether text consists of decimal digits.
+func isDigits(text string) bool {
+	return text != "" && strings.Trim(text, "0123456789") == ""
+}
+
 // isName reports whether text is a valid name of a record, host, zone or region.
 func isName(text string) bool {
 	if text == "" || len(text) > maxNameBytes || text[0] == '-' {
