A panic ends one request, message or update, not the daemon

Cause: nothing recovered from a panic but the decoding of control messages, so an unexpected error in one request, offer, control call or update of the list ended the process; one that comes with each read of the list would end every daemon again and again.

Change: package recoverer at these four boundaries. The caller gets a 502 that claims nothing; the connection of an offer or a control call is closed, a granted slot is released; the follower goes on with the next read. One log line with the stack. Locks around what may panic are released by defer now (dispatcher, follower, executor), since a lock kept by a panic would stop the daemon.

Tests first: TestPanicEndsOneRequestOnly, TestPanicEndsOneOfferOnly and TestPanicEndsOneUpdateOnly ended the test process before.

--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/throttler"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -140,7 +141,7 @@
 		Peer:   peer,
 		Decode: func(target any) error { return messenger.DecodeBody(envelope, target) },
 	}
-	body, err := handle(ctx, request)
+	body, err := l.handle(ctx, handle, request)
 	if messenger.Error.Has(err) {
 		return nil, err
 	}
@@ -152,6 +153,12 @@
 	return messenger.Encode(answer, body)
 }
 
+// handle calls an endpoint. If it panics, the connection has to be closed.
+func (l *Listener) handle(ctx context.Context, serve endpoint.Endpoint, request Request) (body any, err error) {
+	defer recoverer.Recover(l.Log, "serve-control", func() { body, err = nil, messenger.Error.New(recoverer.Cause) })
+	return serve(ctx, request)
+}
+
 // logEnd logs why a connection ended, unless that was its regular end.
 func (l *Listener) logEnd(ctx context.Context, conn *framer.Conn, err error) {
 	if ctx.Err() != nil || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
--- a/internal/connection/transporter/server.go
+++ b/internal/connection/transporter/server.go
@@ -13,13 +13,15 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/decoder"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
 // dataChunkSize is the size in bytes of the largest chunk of a response's body.
 const dataChunkSize = 32 << 10
 
-// Slot is the right to run one request. Either Run or Release ends it.
+// Slot is the right to run one request. Either Run or Release ends it; Release after Run
+// has no effect.
 type Slot interface {
 	// Run runs the request and cancels it when the context ends.
 	Run(ctx context.Context, request *Request) (*Answer, error)
@@ -116,7 +118,7 @@
 
 // serveOffer serves one offer and, if it is granted, its request. It reports whether the
 // connection can be used for another offer.
-func (s *Server) serveOffer(ctx context.Context, conn *framer.Conn, messages <-chan *message) bool {
+func (s *Server) serveOffer(ctx context.Context, conn *framer.Conn, messages <-chan *message) (reusable bool) {
 	offer := awaitMessage(ctx, messages, messageOffer, serverIdleTimeout)
 	if offer == nil || offer.Offer == nil {
 		return false
@@ -124,6 +126,14 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	writer := &messageWriter{conn: conn}
+	var slot Slot
+	defer recoverer.Recover(s.Log, "serve-offer", func() {
+		writer.stopRepeating()
+		if slot != nil {
+			slot.Release()
+		}
+		reusable = false // the connection is closed: nothing is known about the request
+	})
 	slot, err := s.Executor.Admit(ctx, offer.Offer, func() { writer.startRepeating(messageQueued) })
 	writer.stopRepeating()
 	if err != nil {
--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -318,3 +318,54 @@
 		})
 	}
 }
+
+// TestPanicEndsOneOfferOnly checks that an unexpected error while one offer or request is
+// served closes its connection, releases its slot, and has no effect on others.
+func TestPanicEndsOneOfferOnly(t *testing.T) {
+	cases := map[string]struct {
+		executor func(panics *atomic.Bool) *stubExecutor
+		released int64
+	}{
+		"decision on the offer": {func(panics *atomic.Bool) *stubExecutor {
+			return &stubExecutor{admit: func(context.Context, func()) error { return panicOnce(panics) }}
+		}, 0},
+		"run of the request": {func(panics *atomic.Bool) *stubExecutor {
+			return &stubExecutor{run: func(context.Context) (*transporter.Answer, error) {
+				return completeAnswer("body"), panicOnce(panics)
+			}}
+		}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			panics := &atomic.Bool{}
+			panics.Store(true)
+			executor := tc.executor(panics)
+			address, _ := serve(t, executor)
+			client := transporter.NewClient(options)
+			is.True(offerAndRun(t, client, address) != nil)
+			is.Equal(executor.released.Load(), tc.released)
+			is.NoErr(offerAndRun(t, client, address))
+		})
+	}
+}
+
+func panicOnce(panics *atomic.Bool) error {
+	if panics.Swap(false) {
+		panic("injected by the test")
+	}
+	return nil
+}
+
+func offerAndRun(t *testing.T, client *transporter.Client, address string) error {
+	t.Helper()
+	attempt, err := client.Offer(t.Context(), address, &transporter.Offer{ID: "1"}, func() {})
+	if err != nil {
+		return err
+	}
+	answer, err := attempt.Run(t.Context(), &transporter.Request{Body: []byte("body")})
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -32,6 +32,7 @@
 	{"backend server responds again and counts as cold", "it refused connections before, and counts as cold until it has warmed up", []string{"cold-ms"}},
 	{"configuration or server list changed", "a new configuration or list of backend servers is in use", []string{"source", "revision", "version", "changes", "age-ms", "outage"}},
 	{"lapsed backend servers were removed", "backend servers whose entries lapsed during an outage of the store are removed", []string{"revision"}},
+	{"unexpected failure", "a fault of the daemon itself ended one request, message or update", []string{"step", "stack"}},
 	{"connection closed after a malformed message", "another daemon sent a message that cannot be decoded", []string{"step", "peer", "cause"}},
 	{"peer did not answer the fetch", "a daemon that relays the content of the store did not answer", []string{"step", "peer", "cause", "age-ms"}},
 	{"update is unreadable", "an update that another daemon relayed cannot be decoded", []string{"source", "revision"}},
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/replicator"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -110,13 +111,19 @@
 	defer f.transfers.Wait()
 	selector := newSourceSelector(f.Host)
 	for ctx.Err() == nil {
-		peer := selector.nextSource(f.Clock.Now(), f.hosts(true), f.hosts(false))
-		if peer == "" {
-			f.readPlatform(ctx, selector)
-			continue
-		}
-		f.readPeer(ctx, selector, peer)
+		f.readNext(ctx, selector)
+	}
+}
+
+// readNext reads the next source once.
+func (f *Follower) readNext(ctx context.Context, selector *sourceSelector) {
+	defer recoverer.Recover(f.Log, "follow", func() { flow.Sleep(ctx, startReadInterval) })
+	peer := selector.nextSource(f.Clock.Now(), f.hosts(true), f.hosts(false))
+	if peer == "" {
+		f.readPlatform(ctx, selector)
+		return
 	}
+	f.readPeer(ctx, selector, peer)
 }
 
 // NotePeer takes the IP address of a daemon that connected. A daemon that starts
@@ -215,6 +222,7 @@
 	}
 	finished := make(chan result, 1)
 	f.transfers.Go(func() {
+		defer recoverer.Recover(f.Log, "follow", func() { finished <- result{err: errors.New(recoverer.Cause)} })
 		sentAt := f.Clock.Now()
 		answer, err := f.call(ctx, peer, request, configurationTimeout)
 		if err == nil {
@@ -298,14 +306,7 @@
 		flow.Sleep(ctx, pause)
 		return
 	}
-	f.mu.Lock()
-	before := f.state.Revision()
-	changed := f.state.Apply(f.Clock.Now(), update)
-	if f.state.Revision() > before || changed {
-		f.wakeWaiters()
-	}
-	f.mu.Unlock()
-	if !changed {
+	if !f.updateState(update) {
 		return
 	}
 	f.publish()
@@ -315,18 +316,36 @@
 	flow.Sleep(ctx, pause)
 }
 
+// updateState applies an update to the state, and reports whether anything in force
+// changed.
+func (f *Follower) updateState(update flow.Update) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.Revision()
+	changed := f.state.Apply(f.Clock.Now(), update)
+	if f.state.Revision() > before || changed {
+		f.wakeWaiters()
+	}
+	return changed
+}
+
 // publish builds the catalog from the state and hands it on.
 func (f *Follower) publish() {
 	f.publishing.Lock()
 	defer f.publishing.Unlock()
+	catalog := f.buildCatalog()
+	if f.OnChange != nil {
+		f.OnChange(catalog)
+	}
+}
+
+func (f *Follower) buildCatalog() *cataloger.Catalog {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	configuration, servers, zonesOut := f.state.InForce()
 	catalog := cataloger.Build(f.state.Revision(), configuration, servers, zonesOut)
 	f.catalog.Store(catalog)
-	f.mu.Unlock()
-	if f.OnChange != nil {
-		f.OnChange(catalog)
-	}
+	return catalog
 }
 
 // expireLapsed removes lapsed entries after their grace period.
--- a/internal/process/follower/start_test.go
+++ b/internal/process/follower/start_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -57,3 +58,38 @@
 		})
 	}
 }
+
+// panickingPlatform is a platform whose first update makes the follower panic.
+type panickingPlatform struct{ reads int }
+
+// Watch implements flow.Source.
+func (p *panickingPlatform) Watch(ctx context.Context, _ flow.Revision, wait time.Duration) (flow.Update, error) {
+	p.reads++
+	if p.reads > 2 {
+		flow.Sleep(ctx, wait)
+	}
+	return flow.Update{Revision: flow.Revision(p.reads), Changes: []flow.Change{{
+		Key: "servers/s", Revision: flow.Revision(p.reads),
+		Server: &flow.ServerEntry{ID: "s", Service: "stock", Address: listedHost + ":1", Host: listedHost, Zone: "a", Slots: p.reads},
+	}}}, nil
+}
+
+// TestPanicEndsOneUpdateOnly checks that an unexpected error in one update does not end
+// the process, nor keep later updates from being applied.
+func TestPanicEndsOneUpdateOnly(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	platform := &panickingPlatform{}
+	follower := New(Parts{
+		Host: listedHost, Zone: "a", Platform: platform, Clock: flow.NewMonotonicClock(), Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
+		OnChange: func(catalog *cataloger.Catalog) {
+			if catalog.Servers("stock")[0].Slots == 1 {
+				panic("injected by the test")
+			}
+			cancel()
+		},
+	})
+	follower.Run(ctx)
+	is.Equal(follower.Catalog().Servers("stock")[0].Slots, 2)
+}
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -203,9 +203,16 @@
 
 // updateLoad records the load that a daemon reported for its server.
 func (d *Dispatcher) updateLoad(server *flow.ServerEntry, load transporter.Load) {
+	d.updateSelector(func(s *selector.Selector) {
+		s.UpdateLoad(d.Clock.Now(), server.ID, load.FreeSlots, load.QueueWait, load.GrayProbability)
+	})
+}
+
+// updateSelector changes the selector while it holds the lock.
+func (d *Dispatcher) updateSelector(change func(*selector.Selector)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.selector.UpdateLoad(d.Clock.Now(), server.ID, load.FreeSlots, load.QueueWait, load.GrayProbability)
+	change(d.selector)
 }
 
 // countInFlight counts an offer or a request to a server as in flight if delta is
@@ -231,18 +238,16 @@
 	case refused.Load == nil:
 		d.Log.Info("daemon is out of reach", "request", ex.id, "step", string(refused.Refusal.Step), "peer", refused.Refusal.Peer,
 			"server", server.ID, "cause", refused.Refusal.Detail)
-		d.mu.Lock()
-		if refused.Absent {
-			d.selector.MarkAbsent(now, server.ID)
-		} else {
-			d.selector.MarkUnreachable(now, server.ID)
-		}
-		d.mu.Unlock()
+		d.updateSelector(func(s *selector.Selector) {
+			if refused.Absent {
+				s.MarkAbsent(now, server.ID)
+			} else {
+				s.MarkUnreachable(now, server.ID)
+			}
+		})
 		return
 	case refused.Refusal.Reason == flow.ReasonLeaving, refused.Refusal.Reason == flow.ReasonStopping:
-		d.mu.Lock()
-		d.selector.MarkAbsent(now, server.ID)
-		d.mu.Unlock()
+		d.updateSelector(func(s *selector.Selector) { s.MarkAbsent(now, server.ID) })
 		return
 	}
 	d.updateLoad(server, *refused.Load)
@@ -267,18 +272,18 @@
 		refusal.Detail = "the caller has left"
 	}
 	now := d.Clock.Now()
-	d.mu.Lock()
-	switch refusal.Reason {
-	case flow.ReasonServerShed:
-		d.selector.MarkShed(now, server.ID)
-	case flow.ReasonLeaving:
-		d.selector.MarkGone(now, server.ID)
-	case flow.ReasonUnreachable:
-		d.selector.MarkUnreachable(now, server.ID)
-	default:
-		d.selector.UpdateLoad(now, server.ID, attempt.Load.FreeSlots, attempt.Load.QueueWait, attempt.Load.GrayProbability)
-	}
-	d.mu.Unlock()
+	d.updateSelector(func(s *selector.Selector) {
+		switch refusal.Reason {
+		case flow.ReasonServerShed:
+			s.MarkShed(now, server.ID)
+		case flow.ReasonLeaving:
+			s.MarkGone(now, server.ID)
+		case flow.ReasonUnreachable:
+			s.MarkUnreachable(now, server.ID)
+		default:
+			s.UpdateLoad(now, server.ID, attempt.Load.FreeSlots, attempt.Load.QueueWait, attempt.Load.GrayProbability)
+		}
+	})
 	d.Log.Info("attempt failed", "request", ex.id, "server", server.ID, "peer", refusal.Peer, "reason", string(refusal.Reason),
 		"cause", refusal.Detail, "reached", ex.possibleRuns, "left-ms", ex.deadline.Sub(now).Milliseconds())
 	notRun := refusal.NotRun()
@@ -386,10 +391,7 @@
 	case !result.reachedServer:
 		return true
 	}
-	d.mu.Lock()
-	ownRetry := d.retryBudget(ex.service).HasRetry(now)
-	d.mu.Unlock()
-	if ownRetry || d.Allowance.HasRetry(ex.service) {
+	if d.hasOwnRetry(ex.service, now) || d.Allowance.HasRetry(ex.service) {
 		return true
 	}
 	d.logBudgetExhausted(ex)
@@ -400,16 +402,27 @@
 // used up, from the pool of the service. Every further attempt at a request that has
 // reached a backend server needs one, whether or not it ran there.
 func (d *Dispatcher) takeRetry(ctx context.Context, ex *exchange) bool {
-	d.mu.Lock()
-	ownRetry := d.retryBudget(ex.service).Withdraw(d.Clock.Now(), false)
-	d.mu.Unlock()
-	if ownRetry || d.Allowance.Retry(ctx, ex.service) {
+	if d.takeOwnRetry(ex.service) || d.Allowance.Retry(ctx, ex.service) {
 		return true
 	}
 	d.logBudgetExhausted(ex)
 	return false
 }
 
+// hasOwnRetry reports whether a retry is left in this daemon's own part of a budget.
+func (d *Dispatcher) hasOwnRetry(service string, now flow.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retryBudget(service).HasRetry(now)
+}
+
+// takeOwnRetry takes a retry from that part, if one is left.
+func (d *Dispatcher) takeOwnRetry(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retryBudget(service).Withdraw(d.Clock.Now(), false)
+}
+
 func (d *Dispatcher) logBudgetExhausted(ex *exchange) {
 	d.Log.Info("retry budget is used up", "request", ex.id, "service", ex.service)
 }
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/responder"
@@ -168,7 +169,7 @@
 
 // Handle returns the response to a request. It returns nil if the caller had already
 // disconnected.
-func (d *Dispatcher) Handle(ctx context.Context, request *http.Request, body []byte) *http.Response {
+func (d *Dispatcher) Handle(ctx context.Context, request *http.Request, body []byte) (response *http.Response) {
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -180,6 +181,10 @@
 		catalog:    d.Catalog(),
 		retryAfter: -1,
 	}
+	defer recoverer.Recover(d.Log, string(stepDispatch), func() {
+		// Nothing is known about how far the request came.
+		response = d.refusalResponse(ex, d.newRefusal(flow.ReasonServerFailed, stepDispatch, recoverer.Cause))
+	})
 	refusal := d.runSteps(ctx, ex)
 	if refusal != nil && ex.possibleRuns > 0 && refusal.NotRun() {
 		// The last attempt did not run, but an earlier one may have.
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -118,7 +118,8 @@
 	pool       int // retries left in the pool that the daemons share
 	proofAge   time.Duration
 	callFailed int
-	retryShare float64 // of the requests running on the host's own server
+	panics     atomic.Bool // the next request panics
+	retryShare float64     // of the requests running on the host's own server
 	catalog    atomic.Pointer[cataloger.Catalog]
 }
 
@@ -132,6 +133,9 @@
 func (a allowance) HasRetry(string) bool { return a.f.pool > 0 }
 
 func (a allowance) Take(context.Context, *flow.CustomerRule) (bool, time.Duration) {
+	if a.f.panics.Swap(false) {
+		panic("injected by the test")
+	}
 	return a.f.allowed, 1500 * time.Millisecond
 }
 
@@ -480,6 +484,20 @@
 	is.True(time.Since(start) < 400*time.Millisecond)
 }
 
+// TestPanicEndsOneRequestOnly checks that an unexpected error in the handling of one
+// request is answered, without a claim that the request did not run, and has no effect on
+// the next one.
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, &testServer{})
+	f.panics.Store(true)
+	status, _, header := f.send(t, http.MethodPost, "/book/", nil)
+	is.Equal(status, http.StatusBadGateway)
+	is.Equal(header.Get(flow.HeaderOutcome), string(flow.OutcomeUnknown))
+	status, _, _ = f.send(t, http.MethodPost, "/book/", nil)
+	is.Equal(status, http.StatusOK)
+}
+
 // TestRetryBudgetIsDividedByMostDaemons changes the number of known daemons after
 // retries were spent. The daemon's part of the budget shrinks when there are more
 // daemons, and does not grow when there are fewer again.
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -332,16 +332,20 @@
 		return refusal
 	case <-ctx.Done():
 	}
-	e.mu.Lock()
-	withdrawn := e.scheduler.Withdraw(id)
-	delete(e.waiters, id)
-	e.mu.Unlock()
-	if withdrawn {
+	if e.withdraw(id) {
 		return e.newRefusal(flow.ReasonCancelled, stepAdmit, "the ingress went away")
 	}
 	return <-decided
 }
 
+// withdraw removes an offer from the queue, and reports whether it was still there.
+func (e *Executor) withdraw(id uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.waiters, id)
+	return e.scheduler.Withdraw(id)
+}
+
 // finish releases the slot of a request. A positive duration is how long a good
 // response took, and counts towards the route's mean.
 func (e *Executor) finish(id uint64, duration time.Duration) {
@@ -480,12 +484,28 @@
 	}}, nil
 }
 
-// recordOutcome records the outcome of a run as evidence about the backend
-// server. It releases the slot if there is no response to pass on.
+// recordOutcome records the outcome of a run. It releases the slot if there is no
+// response to pass on.
 func (e *Executor) recordOutcome(s *slot, out outcome, took time.Duration) {
+	blamed, gray := e.updateBreaker(s, out, took)
+	if out.verdict != flow.VerdictGood {
+		e.Log.Info("request failed at the backend server", "request", s.offer.ID, "server", s.offer.Server, "route", s.offer.Route,
+			"status", out.status, "cause", out.text(), "took-ms", took.Milliseconds(), "blamed-on-call", blamed,
+			"gray", roundShare(gray), "trial", s.offer.Trial, "forced", s.offer.Forced)
+	}
+	if out.refusal != nil {
+		e.finish(s.id, 0)
+	}
+}
+
+// updateBreaker records the outcome of a run as evidence about the backend server. It
+// returns whether the outcome is blamed on a call of the server, and the probability that
+// the server is gray.
+func (e *Executor) updateBreaker(s *slot, out outcome, took time.Duration) (blamed bool, gray float64) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	blamed := e.breaker.BlamesCall(now, out.verdict, out.status)
+	blamed = e.breaker.BlamesCall(now, out.verdict, out.status)
 	evidence, isEvidence := estimator.EvidenceOf(out.verdict, took, e.scheduler.MeanDuration(s.offer.Route))
 	if isEvidence && !blamed && !e.overdue[s.id] && s.offer.Server == e.server {
 		e.recordEvidence(now, now.Add(-took), evidence, out.text())
@@ -499,16 +519,7 @@
 		e.endedServer = s.offer.Server
 		e.Log.Info("listed backend server has ended", "server", s.offer.Server, "request", s.offer.ID, "cause", out.text())
 	}
-	gray := e.breaker.GrayProbability(now)
-	e.mu.Unlock()
-	if out.verdict != flow.VerdictGood {
-		e.Log.Info("request failed at the backend server", "request", s.offer.ID, "server", s.offer.Server, "route", s.offer.Route,
-			"status", out.status, "cause", out.text(), "took-ms", took.Milliseconds(), "blamed-on-call", blamed,
-			"gray", roundShare(gray), "trial", s.offer.Trial, "forced", s.offer.Forced)
-	}
-	if out.refusal != nil {
-		e.finish(s.id, 0)
-	}
+	return blamed, e.breaker.GrayProbability(now)
 }
 
 // recordResponse records a good response. After an outage the server counts as
