Follower: fewer reads of the platform at the start and in a calm

Change: on the first start of a deployment (setting first-start, which the platform fills in) the first read comes after 1.2 s; without a host of the own zone the platform is read every 0.6 s instead of 0.3 s; one watch waits for a quarter of the time within which changes must be in force (setting apply-within), at least the 0.5 s of before.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -28,9 +28,11 @@
 )
 
 const (
-	// platformWatchWait is how long one watch of the platform waits. A connection
-	// that has gone silent is detected after it.
-	platformWatchWait = 500 * time.Millisecond
+	// minPlatformWait and maxPlatformWait bound how long one watch of the platform
+	// waits, which is a quarter of Parts.ApplyWithin. A connection that has gone silent
+	// is detected after it, and each watch costs a call.
+	minPlatformWait = 500 * time.Millisecond
+	maxPlatformWait = time.Second
 	// peerWatchWait is how long one watch of a peer waits.
 	peerWatchWait = 400 * time.Millisecond
 	// peerAnswerMargin is how long a peer's answer may take beyond the wait.
@@ -51,8 +53,12 @@
 	platformCoalesceDelay = 120 * time.Millisecond
 	// startReadInterval is the pause between reads of the platform while no host of
 	// the daemon's zone is listed. When a deployment starts, its hosts are listed within
-	// about a second, and until then every one of them reads the platform.
-	startReadInterval = 300 * time.Millisecond
+	// some seconds, the first ones of a zone within about one, and until then every
+	// daemon reads the platform.
+	startReadInterval = 600 * time.Millisecond
+	// firstStartDelay is the pause before the first read when the whole deployment
+	// starts for the first time: no host is listed yet.
+	firstStartDelay = 1200 * time.Millisecond
 	// expireInterval is the time between two checks for lapsed entries whose grace
 	// time is over.
 	expireInterval = 250 * time.Millisecond
@@ -68,7 +74,10 @@
 	Clock    flow.Clock
 	Log      logr.Logger
 	Random   *rand.Rand // used only by the goroutine of Run
-	OnChange func(*cataloger.Catalog)
+	// ApplyWithin is the time within which a change must be in force everywhere.
+	ApplyWithin time.Duration
+	FirstStart  bool // the whole deployment starts for the first time
+	OnChange    func(*cataloger.Catalog)
 }
 
 // Follower maintains the catalog of a daemon.
@@ -110,6 +119,9 @@
 	defer expiring.Wait()
 	defer f.transfers.Wait()
 	selector := newSourceSelector(f.Host)
+	if f.FirstStart {
+		flow.Sleep(ctx, firstStartDelay)
+	}
 	for ctx.Err() == nil {
 		f.readNext(ctx, selector)
 	}
@@ -159,7 +171,7 @@
 	if !flow.Sleep(ctx, selector.platformDelay(f.Clock.Now())) {
 		return
 	}
-	update, err := f.Platform.Watch(ctx, f.revision(), platformWatchWait)
+	update, err := f.Platform.Watch(ctx, f.revision(), f.platformWait())
 	if err != nil {
 		if ctx.Err() == nil {
 			f.Log.V(1).Info("the platform could not be read", "cause", err.Error(), "age-ms", f.Age().Milliseconds())
@@ -176,6 +188,11 @@
 	}
 }
 
+// platformWait returns how long one watch of the platform waits.
+func (f *Follower) platformWait() time.Duration {
+	return min(max(f.ApplyWithin/4, minPlatformWait), maxPlatformWait)
+}
+
 // FetchRequest asks a peer for the changes since a revision.
 type FetchRequest struct {
 	After  flow.Revision `msgpack:"a"`
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -186,6 +186,9 @@
 		Log:      s.log.WithName("follow"),
 		Random:   newRandom(1),
 		OnChange: s.applyCatalog,
+
+		ApplyWithin: settings.Sidecar.ApplyWithin,
+		FirstStart:  settings.Sidecar.FirstStart == "true",
 	})
 	s.allowance = newAllowance(allowanceParts{
 		host:      host,
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -18,6 +18,8 @@
 	RateOverage float64       // share of a customer's rate that may be admitted beyond the rate
 	RateSlack   float64       // burst of requests that may be admitted in addition to RateOverage
 	MaxProofAge time.Duration // proof age from which requests are refused; 0 for never
+	ApplyWithin time.Duration // time within which a change must be in force on all hosts
+	FirstStart  string        // "true" if the whole deployment starts for the first time
 	StopGrace   time.Duration // time from the signal to stop until the process must have ended
 
 	Memory   ByteSize
@@ -113,6 +115,16 @@
 		Help:   "Age of the newest proof that the configuration is current from which requests are refused; with 0s they are served at any age.",
 		target: func(s *Settings) any { return &s.Sidecar.MaxProofAge },
 	},
+	{
+		Name: "apply-within", Type: SettingDuration, Default: "2s", Min: "1s", Max: "1m",
+		Help:   "Time within which a change that the platform publishes must be in force on all hosts. The longer it is, the more rarely the platform is read.",
+		target: func(s *Settings) any { return &s.Sidecar.ApplyWithin },
+	},
+	{
+		Name: "first-start", Type: SettingChoice, Default: "false", Choices: []string{"true", "false"},
+		Help:   "Whether the whole deployment starts for the first time. The daemon then waits until hosts are listed before it reads the platform.",
+		target: func(s *Settings) any { return &s.Sidecar.FirstStart },
+	},
 	{
 		Name: "stop-grace", Type: SettingDuration, Default: "6s", Min: "1s", Max: "1h",
 		Help:   "Time from the signal to stop until the process must have ended.",
