Transporter: a silent host is waited for where a request cannot go elsewhere

Cause: after 1.8 s without a sign of a running request its ingress gave it up, also one that may run only once: the caller got a 502 while the server went on and its response was thrown away.

Ruled out: requests that may run again are still sent elsewhere after 1.8 s, within the retry budget. A host that is gone is noticed by the keep-alive probes of the connection after 3 to 5 s; the deadline of the request bounds the wait in any case.

Change: for the last attempt that may run, the connection may be silent for 10 s.

Test first: TestSilentDaemonIsWaitedFor (the response was lost before).

--- a/internal/connection/transporter/client.go
+++ b/internal/connection/transporter/client.go
@@ -40,6 +40,10 @@
 	progressInterval = 600 * time.Millisecond
 	// silenceTimeout is how long a connection may be silent before it counts as lost.
 	silenceTimeout = 3 * progressInterval
+	// patientSilenceTimeout is that time for a request that cannot be sent elsewhere.
+	// A host that was frozen or out of touch for some seconds still delivers the
+	// response; the TCP keep-alive probes end a connection whose host is gone.
+	patientSilenceTimeout = 10 * time.Second
 	// idleTimeout is how long the client keeps an idle connection. It is shorter than
 	// serverIdleTimeout, so that the client closes the connection first.
 	idleTimeout = 12 * time.Second
@@ -78,6 +82,15 @@
 	conn    *framer.Conn
 	detach  func() bool // stops closing conn when the context ends; false if it has ended
 	Load    Load        // latest reported load of the backend server
+	Patient bool        // the request cannot be sent elsewhere, so a silent daemon is waited for
+}
+
+// silence returns how long the connection may be silent while the request runs.
+func (a *Attempt) silence() time.Duration {
+	if a.Patient {
+		return patientSilenceTimeout
+	}
+	return silenceTimeout
 }
 
 // RefusedError is the error of an offer that was not granted. The request has not run.
@@ -188,7 +201,7 @@
 		return nil, a.fail(ctx, err)
 	}
 	for {
-		m, err := receive(a.conn, silenceTimeout)
+		m, err := receive(a.conn, a.silence())
 		switch {
 		case err != nil:
 			return nil, a.fail(ctx, err)
@@ -238,7 +251,7 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	for len(b.unread) == 0 && b.err == nil {
-		m, err := receive(b.attempt.conn, silenceTimeout)
+		m, err := receive(b.attempt.conn, b.attempt.silence())
 		switch {
 		case err != nil:
 			b.err = io.ErrUnexpectedEOF
--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -369,3 +369,76 @@
 	}
 	return answer.Body.Close()
 }
+
+// startPausingRelay forwards connections to a target, and holds back all bytes, in both
+// directions, while paused is set.
+func startPausingRelay(t *testing.T, target string) (address string, paused *atomic.Bool) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	paused = &atomic.Bool{}
+	forward := func(to, from net.Conn) {
+		defer func() { _ = to.Close() }()
+		buffer := make([]byte, 4096)
+		for {
+			n, err := from.Read(buffer)
+			for paused.Load() {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			go forward(server, client)
+			go forward(client, server)
+		}
+	}()
+	return listener.Addr().String(), paused
+}
+
+// TestSilentDaemonIsWaitedFor has a host fall silent for some seconds while a request
+// runs there, as when it freezes. A request that cannot be sent elsewhere gets the
+// response that the server made; giving it up would lose it. Any other is given up, so
+// that it can be sent elsewhere.
+func TestSilentDaemonIsWaitedFor(t *testing.T) {
+	const silence = 2500 * time.Millisecond
+	for name, patient := range map[string]bool{"request that cannot be sent elsewhere": true, "request that can": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			executor := &stubExecutor{run: func(context.Context) (*transporter.Answer, error) {
+				time.Sleep(300 * time.Millisecond)
+				return completeAnswer("body"), nil
+			}}
+			target, _ := serve(t, executor)
+			address, paused := startPausingRelay(t, target)
+			attempt, err := transporter.NewClient(options).Offer(t.Context(), address, &transporter.Offer{ID: "1"}, func() {})
+			is.NoErr(err)
+			attempt.Patient = patient
+			time.AfterFunc(100*time.Millisecond, func() { paused.Store(true) })
+			time.AfterFunc(100*time.Millisecond+silence, func() { paused.Store(false) })
+			answer, err := attempt.Run(t.Context(), &transporter.Request{})
+			is.Equal(err == nil, patient)
+			is.Equal(executor.runs.Load(), int64(1))
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(answer.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "body")
+		})
+	}
+}
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -123,6 +123,11 @@
 	return selector.Repeatable(ex.route.Idempotent, ex.route.MaxAttempts, ex.possibleRuns)
 }
 
+// isLastRun reports whether no further attempt may follow one that may have run.
+func (ex *exchange) isLastRun() bool {
+	return !ex.route.Idempotent || ex.possibleRuns+1 >= max(ex.route.MaxAttempts, 1)
+}
+
 // plan returns the offers to make, in order.
 func (d *Dispatcher) plan(ex *exchange, tried map[string]bool) []selector.Offer {
 	catalog := d.Catalog()
@@ -153,6 +158,7 @@
 	runCtx, expiry := d.withDeadline(parent, ex)
 	defer context.AfterFunc(d.aborted, expiry.Cancel)()
 	attempt.SetContext(runCtx)
+	attempt.Patient = ex.isLastRun()
 	answer, err := attempt.Run(runCtx, d.newRequest(ex))
 	if err != nil {
 		d.countInFlight(server, -1)
