Follower: a reader that the store refuses sends its followers on

Cause: the first host of a zone, refused by the store, fell back to a peer and then no longer reported that its source was lost.

Change: only an answer of the platform, or of a host that ranks before, ends the lost source; an answer of a peer that was asked instead does not.

Test first: TestRefusedReaderReportsItsLostSource.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -89,7 +89,7 @@
 	state      *replicator.State
 	changed    chan struct{} // closed and replaced to wake waiting fetches
 	recentPeer string        // IP address of a daemon that connected recently
-	sourceLost bool          // the platform could not be read, and no peer with a source has been found since
+	sourceLost bool          // the platform could not be read, and neither it nor a host that ranks before this one has answered since
 
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
 	transfers  sync.WaitGroup // transfers of configurations in progress
@@ -274,14 +274,18 @@
 }
 
 // markPeerAnswered records an answer. A peer that is not current itself is skipped for
-// a while.
+// a while. A daemon that falls back to a peer still reports that its own source is lost:
+// if its followers stayed, it could fall back to one of them, and nobody in the zone
+// would read the platform.
 func (f *Follower) markPeerAnswered(selector *sourceSelector, peer string, update flow.Update) {
 	selector.markAnswered()
 	if update.SourceLost || update.Age > staleAge {
 		selector.markStale(f.Clock.Now(), peer)
 		return
 	}
-	f.setSourceLost(false)
+	if !selector.fallingBack {
+		f.setSourceLost(false)
+	}
 }
 
 func (f *Follower) call(ctx context.Context, peer string, request FetchRequest, within time.Duration) (FetchAnswer, error) {
--- a/internal/process/follower/source.go
+++ b/internal/process/follower/source.go
@@ -40,6 +40,7 @@
 	backoff     time.Duration
 	platformAt  flow.Time // the platform is not read before this time
 	fallbacks   int       // number of peers read instead of the platform
+	fallingBack bool      // the newest source is such a peer
 	silentInRow int       // peers in a row that did not answer
 }
 
@@ -50,6 +51,7 @@
 // nextSource returns the peer to follow, or "" for the platform itself. Elsewhere
 // holds the hosts of other zones.
 func (s *sourceSelector) nextSource(now flow.Time, zone, elsewhere []string) string {
+	s.fallingBack = false
 	ranked := ranker.New(zone).Ranked(readerResource, len(zone))
 	for _, host := range ranked {
 		if host == s.self || s.silentInRow >= maxSilentInRow {
@@ -70,6 +72,7 @@
 		return ""
 	}
 	s.fallbacks++
+	s.fallingBack = true
 	return others[s.fallbacks%len(others)]
 }
 
--- a/internal/process/follower/transfer_test.go
+++ b/internal/process/follower/transfer_test.go
@@ -116,3 +116,42 @@
 		return nil, ctx.Err()
 	}
 }
+
+// TestRefusedReaderReportsItsLostSource checks the first host of a zone while the store
+// refuses it alone. It reads from a peer meanwhile, but its followers must hear that its
+// own source is lost and go on to the next host, which may read the store. They used to
+// stay, and the host could read from one of them in turn: the zone missed changes for
+// over 2 s.
+func TestRefusedReaderReportsItsLostSource(t *testing.T) {
+	is := is.New(t)
+	hosts := []string{"127.0.42.1", "127.0.42.2"}
+	ranked := ranker.New(hosts).Ranked(readerResource, len(hosts))
+	options := framer.Options{Self: framer.Identity{Host: ranked[0]}, Secret: []byte("sixteen characters"), MaxPayloadBytes: 1 << 20}
+	peer := New(Parts{Host: ranked[1], Zone: "a", Clock: flow.NewMonotonicClock(), Log: logr.Discard()})
+	peer.apply(t.Context(), "test", knownHosts(hosts), 0)
+	peer.apply(t.Context(), "test", flow.Update{Revision: 2, Changes: []flow.Change{{Key: "z", Revision: 2, ZoneOut: "b"}}}, 0)
+	socket, err := net.Listen("tcp", net.JoinHostPort(ranked[1], "0"))
+	is.NoErr(err)
+	_, port, _ := net.SplitHostPort(socket.Addr().String())
+	go func() {
+		_ = (&listener.Listener{Options: options, Endpoints: peer.Endpoints(), Log: logr.Discard()}).Serve(t.Context(), socket)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), configurationBound)
+	defer cancel()
+	reader := New(Parts{
+		Host: ranked[0], Zone: "a", PeerPort: port, Platform: lostPlatform{}, Dialer: dialer.New(options, nil),
+		Clock: flow.NewMonotonicClock(), Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	reader.apply(ctx, "test", knownHosts(hosts), 0)
+	go func() {
+		for reader.revision() < 2 && flow.Sleep(ctx, time.Millisecond) {
+		}
+		flow.Sleep(ctx, 2*coalesceDelay)
+		cancel()
+	}()
+	reader.Run(ctx)
+	is.Equal(reader.revision(), flow.Revision(2)) // heard from the peer
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	is.True(reader.sourceLost)
+}
