--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -33,13 +32,6 @@
 	l.runs = append(l.runs, r)
 }
 
-// has reports whether a request has run.
-func (l *runLog) has(id string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.ContainsFunc(l.runs, func(r run) bool { return r.id == id })
-}
-
 func (l *runLog) all() []run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
