--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of all cases into review/bin.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o review/bin/ ./review/standin
+go build -tags review -o review/bin/standin ./review/platform
