Review: withdraw the cases of a second rejection and of a cut watch

Cause: the stand-in of the first case (TWICE) sent rejections without the request's id.

Change: both cases and what only they used are removed; the case of an appended answer moves to review/1. The fixture of the remaining cases gets smaller, their checks stay.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec review/bin/standin appended review/3
+exec review/bin/standin appended review/1
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -22,9 +22,7 @@
 var cases = map[string]func(*fleet, bool) (broken bool, err error){
 	"appended":  answerAppended,
 	"truncated": answerTruncated,
-	"twice":     requestTwice,
 	"owners":    twoOwners,
-	"drain":     drainedServer,
 }
 
 func main() {
--- a/review/platform/store.go
+++ b/review/platform/store.go
@@ -37,14 +37,12 @@
 	history  []item
 	changed  chan struct{}
 	cut      map[string]bool // hosts that are cut off from the store
-	cuts     map[string]int  // waiting watches that are still to be cut, by host
-	watchers map[string]int  // watches so far, by host
 }
 
 func newStore(record *record) *store {
 	return &store{
 		record: record, revision: 400, items: map[string]item{}, changed: make(chan struct{}),
-		cut: map[string]bool{}, cuts: map[string]int{}, watchers: map[string]int{},
+		cut: map[string]bool{},
 	}
 }
 
@@ -109,22 +107,6 @@
 	s.wake()
 }
 
-// cutWatches cuts the watch of a host that waits, and those that follow it, up to a
-// number.
-func (s *store) cutWatches(host string, number int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cuts[host] = number
-	s.wake()
-}
-
-// watchesOf returns how many watches a host has made.
-func (s *store) watchesOf(host string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.watchers[host]
-}
-
 // hang leaves a call of a host that is cut off without an answer, and reports whether
 // it did.
 func (s *store) hang(r *http.Request, host string) bool {
@@ -165,9 +147,6 @@
 	prefix := r.URL.Query().Get("prefix")
 	timer := time.NewTimer(min(time.Duration(waitMs)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
-	s.mu.Lock()
-	s.watchers[host]++
-	s.mu.Unlock()
 	for waiting := true; ; {
 		if s.hang(r, host) {
 			return
@@ -180,19 +159,11 @@
 				events = append(events, it)
 			}
 		}
-		isCut := len(events) == 0 && waiting && s.cuts[host] > 0
-		if isCut {
-			s.cuts[host]--
-		}
 		s.mu.Unlock()
 		if len(events) > 0 || !waiting {
 			respond(w, map[string]any{"events": events, "store_revision": revision})
 			return
 		}
-		if isCut {
-			s.record.logf("store: a waiting watch of %s is cut", host)
-			panic(http.ErrAbortHandler)
-		}
 		select {
 		case <-changed:
 		case <-timer.C:
