Review: a server that has left stays in use in a whole zone

Cause: one failed call to the store marks the answers of the next 2.5 s as following an outage; removed entries then stay in use for 2.5 s more, and the followers of that machine take the mark over.

--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -111,7 +111,7 @@
 	if listener, err = f.listen(h.public, portServer); err != nil {
 		return nil, err
 	}
-	h.server = &server{fleet: f, id: fmt.Sprintf("i-%08x", rand.Uint32()), host: h, born: time.Now().UnixMilli()}
+	h.server = &server{fleet: f, id: fmt.Sprintf("i-%08x", rand.Uint32()), host: h, born: time.Now().UnixMilli(), listener: listener, conns: map[net.Conn]bool{}}
 	go h.server.serve(listener)
 	f.links.hosts = append(f.links.hosts, h.public)
 	f.hosts = append(f.hosts, h)
@@ -257,6 +257,7 @@
 	quotaOverage = 0.25
 	quotaSlack   = 20
 	quotaWindow  = 5 * time.Second
+	drainTime    = 2 * time.Second
 	// bookingTime is how long a server works on a booking, and shortTime on a short request.
 	bookingTime = 620 * time.Millisecond
 	shortTime   = 160 * time.Millisecond
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -23,7 +23,7 @@
 	"appended":  answerAppended,
 	"truncated": answerTruncated,
 	"owners":    twoOwners,
-	"endless":   answerWithoutEnd,
+	"drain":     drainedServer,
 	"uploads":   uploadsAtOnce,
 }
 
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -56,6 +56,35 @@
 	born   int64         // Unix time of its start in milliseconds
 	work   time.Duration // time that a request takes
 	handle func(*exchange) (keep bool)
+
+	mu       sync.Mutex
+	ended    bool
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+// end ends the server with the requests that it is at work on.
+func (s *server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.listener.Close()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.fleet.record.logf("server %s ends", s.id)
+}
+
+// track adds or removes a connection, and reports whether the server goes on.
+func (s *server) track(conn net.Conn, open bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[conn] = true
+	} else {
+		delete(s.conns, conn)
+	}
+	return !s.ended
 }
 
 func (s *server) serve(listener net.Listener) {
@@ -70,6 +99,10 @@
 
 func (s *server) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	defer s.track(conn, false)
+	if !s.track(conn, true) {
+		return
+	}
 	reader := bufio.NewReader(conn)
 	for number := 1; ; number++ {
 		request, err := http.ReadRequest(reader)
--- a/review/platform/store.go
+++ b/review/platform/store.go
@@ -37,12 +37,14 @@
 	history  []item
 	changed  chan struct{}
 	cut      map[string]bool // hosts that are cut off from the store
+	resets   map[string]bool // hosts whose calls are reset
+	watchers map[string]int  // watches so far, by host
 }
 
 func newStore(record *record) *store {
 	return &store{
 		record: record, revision: 400, items: map[string]item{}, changed: make(chan struct{}),
-		cut: map[string]bool{},
+		cut: map[string]bool{}, resets: map[string]bool{}, watchers: map[string]int{},
 	}
 }
 
@@ -107,12 +109,32 @@
 	s.wake()
 }
 
+// setReset makes the store's end of a host's connections reset all calls, those that wait
+// included, or ends that.
+func (s *store) setReset(host string, reset bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets[host] = reset
+	s.wake()
+}
+
+// watchesOf returns how many watches a host has made.
+func (s *store) watchesOf(host string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchers[host]
+}
+
 // hang leaves a call of a host that is cut off without an answer, and reports whether
 // it did.
 func (s *store) hang(r *http.Request, host string) bool {
 	s.mu.Lock()
-	cut := s.cut[host]
+	cut, reset := s.cut[host], s.resets[host]
 	s.mu.Unlock()
+	if reset {
+		s.record.logf("store: a call of %s is reset", host)
+		panic(http.ErrAbortHandler)
+	}
 	if cut {
 		<-r.Context().Done()
 	}
@@ -147,6 +169,9 @@
 	prefix := r.URL.Query().Get("prefix")
 	timer := time.NewTimer(min(time.Duration(waitMs)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
+	s.mu.Lock()
+	s.watchers[host]++
+	s.mu.Unlock()
 	for waiting := true; ; {
 		if s.hang(r, host) {
 			return
