A daemon's lost contact is no outage of the store for its zone

Cause: the store's client marked each update within 2.5 s of a failed call as one after an outage, in which entries lapse and stay in use. The mark held for all deletions of the update, went on to the followers, and the grace period began anew at each daemon. Logs of the case: the reader regained the store at 21.797 s, the entry was removed 1.1 s later, and all four daemons logged "lapsed backend servers were removed" at 25.555 to 25.561 s.

Change: the mark is gone. A daemon presumes an outage when it has heard of no proof of currency for 2 s, whoever brought the proofs; the grace period counts from the first new one. Updates carry how long the store had been answering without an interruption, so daemons with contact correct those without, and a reader that presumes an outage asks the other zones. Two log lines say so.

TestWatchReturnsChangesAndOutages checked the mark; what it stood for is now checked in TestApplyKeepsTheNewestChange (the same cases, with a time without contact in place of the mark, and six more).

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -59,6 +59,8 @@
 	// firstStartDelay is the pause before the first read when the whole deployment
 	// starts for the first time: no host is listed yet.
 	firstStartDelay = 1200 * time.Millisecond
+	// inquiryInterval is the time between two inquiries of other zones about an outage.
+	inquiryInterval = 500 * time.Millisecond
 	// expireInterval is the time between two checks for lapsed entries whose grace
 	// time is over.
 	expireInterval = 250 * time.Millisecond
@@ -89,15 +91,18 @@
 	state      *replicator.State
 	changed    chan struct{} // closed and replaced to wake waiting fetches
 	recentPeer string        // IP address of a daemon that connected recently
+	lastOutage time.Duration // length of the newest presumed outage of the store; 0 if there was none
 	sourceLost bool          // the platform could not be read, and neither it nor a host that ranks before this one has answered since
 
+	nextInquiry flow.Time // when other zones may be asked about an outage again; used only by the goroutine of Run
+
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
 	transfers  sync.WaitGroup // transfers of configurations in progress
 }
 
 // New returns a Follower with an empty catalog.
 func New(parts Parts) *Follower {
-	f := &Follower{Parts: parts, state: replicator.New(), changed: make(chan struct{})}
+	f := &Follower{Parts: parts, state: replicator.New(), changed: make(chan struct{}), nextInquiry: flow.Never}
 	f.catalog.Store(cataloger.Build(0, nil, nil, nil))
 	return f
 }
@@ -183,6 +188,7 @@
 	selector.markPlatformAnswered()
 	f.setSourceLost(false)
 	f.apply(ctx, "platform", update, platformCoalesceDelay)
+	f.inquireOutage(ctx)
 	if len(f.hosts(true)) == 0 {
 		flow.Sleep(ctx, startReadInterval)
 	}
@@ -193,6 +199,35 @@
 	return min(max(f.ApplyWithin/4, minPlatformWait), maxPlatformWait)
 }
 
+// inquireOutage asks a host of each other zone whether the platform answered it while it
+// answered no host of this zone. If it did, this zone was cut off, and the entries that
+// were deleted meanwhile have not lapsed.
+func (f *Follower) inquireOutage(ctx context.Context) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	presumed := f.state.InGrace(now)
+	f.mu.Unlock()
+	if !presumed || now.Before(f.nextInquiry) {
+		return
+	}
+	f.nextInquiry = now.Add(inquiryInterval)
+	catalog := f.Catalog()
+	byZone := map[string][]string{}
+	for _, host := range f.hosts(false) {
+		byZone[catalog.ZoneOf(host)] = append(byZone[catalog.ZoneOf(host)], host)
+	}
+	request := FetchRequest{After: f.revision()}
+	for _, hosts := range byZone {
+		peer := hosts[f.Random.IntN(len(hosts))]
+		f.transfers.Go(func() {
+			defer recoverer.Recover(f.Log, "follow", func() {})
+			if answer, err := f.call(ctx, peer, request, peerAnswerMargin); err == nil {
+				f.apply(ctx, peer, answer.Update, 0)
+			}
+		})
+	}
+}
+
 // FetchRequest asks a peer for the changes since a revision.
 type FetchRequest struct {
 	After  flow.Revision `msgpack:"a"`
@@ -327,29 +362,45 @@
 		flow.Sleep(ctx, pause)
 		return
 	}
-	if !f.updateState(update) {
+	if !f.updateState(source, update) {
 		return
 	}
 	f.publish()
 	catalog := f.Catalog()
 	f.Log.Info("configuration or server list changed", "source", source, "revision", catalog.Revision, "version", catalog.Version,
-		"changes", len(update.Changes), "age-ms", update.Age.Milliseconds(), "outage", update.Outage)
+		"changes", len(update.Changes), "age-ms", update.Age.Milliseconds())
 	flow.Sleep(ctx, pause)
 }
 
 // updateState applies an update to the state, and reports whether anything in force
 // changed.
-func (f *Follower) updateState(update flow.Update) bool {
+func (f *Follower) updateState(source string, update flow.Update) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.state.Revision()
 	changed := f.state.Apply(f.Clock.Now(), update)
+	f.noteOutage(source)
 	if f.state.Revision() > before || changed {
 		f.wakeWaiters()
 	}
 	return changed
 }
 
+// noteOutage logs when the store may have had an outage, and when it turns out to have
+// had none. The caller must hold the lock.
+func (f *Follower) noteOutage(source string) {
+	outage := f.state.PresumedOutage()
+	if outage == f.lastOutage {
+		return
+	}
+	f.lastOutage = outage
+	if outage > 0 {
+		f.Log.Info("the store may have been unavailable", "source", source, "interrupted-ms", outage.Milliseconds(), "revision", f.state.Revision())
+		return
+	}
+	f.Log.Info("the store was available to other daemons", "source", source, "revision", f.state.Revision())
+}
+
 // publish builds the catalog from the state and hands it on.
 func (f *Follower) publish() {
 	f.publishing.Lock()
@@ -423,7 +474,7 @@
 // announced unless the request asked for it.
 func newFetchAnswer(update flow.Update, large bool) *FetchAnswer {
 	if hasConfiguration(update) && !large {
-		return &FetchAnswer{Update: flow.Update{Age: update.Age, SourceLost: update.SourceLost}, Large: true}
+		return &FetchAnswer{Update: flow.Update{Age: update.Age, Unbroken: update.Unbroken, SourceLost: update.SourceLost}, Large: true}
 	}
 	return &FetchAnswer{Update: update}
 }
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -21,17 +21,19 @@
 // State holds the newest change of every key.
 type State struct {
 	changes  map[string]flow.Change
-	lapsed   map[string]flow.Time // deleted keys that stay in use until the given time
+	lapsed   map[string]bool // deleted keys that stay in use until the grace period ends
 	revision flow.Revision
 	provenAt flow.Time // when the revision was last proven to be current
+	contact  contact
 }
 
 // New returns an empty State.
 func New() *State {
 	return &State{
 		changes:  map[string]flow.Change{},
-		lapsed:   map[string]flow.Time{},
+		lapsed:   map[string]bool{},
 		provenAt: flow.Never,
+		contact:  newContact(),
 	}
 }
 
@@ -41,22 +43,40 @@
 // Age returns the proof age: the time since the state was last proven to be current.
 func (s *State) Age(now flow.Time) time.Duration { return now.Sub(s.provenAt) }
 
+// PresumedOutage returns how long the platform had answered neither this daemon nor one
+// that it heard from, before the newest span of contact. It returns 0 if there was no
+// such time, or if it turned out that the platform had answered another daemon.
+func (s *State) PresumedOutage() time.Duration {
+	if s.contact.restoredAt == flow.Never {
+		return 0
+	}
+	return s.contact.since.Sub(s.contact.interruptedAt)
+}
+
+// InGrace reports whether entries that lapsed in the newest presumed outage stay in use.
+func (s *State) InGrace(now flow.Time) bool {
+	return s.contact.restoredAt != flow.Never && now.Before(s.contact.restoredAt.Add(flow.LapseGrace))
+}
+
 // Apply applies an update, and reports whether anything in force changed. A server
 // entry that an update deletes after an outage of the platform lapses: it stays in
-// use for a grace period.
+// use for a grace period. Whether there was an outage each daemon decides by its own
+// contact, since a source may have lost the platform alone.
 func (s *State) Apply(now flow.Time, update flow.Update) bool {
 	changed := false
+	proof := now.Add(-update.Age)
+	s.contact.add(now, proof.Add(-update.Unbroken), proof)
 	if update.Full {
 		changed = s.deleteMissing(now, update)
 	}
 	for _, change := range update.Changes {
-		if s.applyChange(now, change, update.Outage) {
+		if s.applyChange(now, change) {
 			changed = true
 		}
 	}
 	if update.Revision >= s.revision {
 		s.revision = update.Revision
-		s.provenAt = max(s.provenAt, now.Add(-update.Age))
+		s.provenAt = max(s.provenAt, proof)
 	}
 	return changed
 }
@@ -73,14 +93,14 @@
 			continue
 		}
 		deletion := flow.Change{Key: key, Revision: update.Revision, Deleted: true}
-		if s.applyChange(now, deletion, update.Outage) {
+		if s.applyChange(now, deletion) {
 			changed = true
 		}
 	}
 	return changed
 }
 
-func (s *State) applyChange(now flow.Time, change flow.Change, outage bool) bool {
+func (s *State) applyChange(now flow.Time, change flow.Change) bool {
 	known, ok := s.changes[change.Key]
 	if ok && change.Revision <= known.Revision {
 		return false
@@ -88,10 +108,10 @@
 	if change.Configuration != nil && ok && known.Configuration != nil && change.Configuration.Version < known.Configuration.Version {
 		return false // the operators' version never goes back
 	}
-	if change.Deleted && known.Server != nil && outage {
+	if change.Deleted && known.Server != nil && s.InGrace(now) {
 		// The entry stays in use while its deletion is already recorded.
 		change.Server = known.Server
-		s.lapsed[change.Key] = now.Add(flow.LapseGrace)
+		s.lapsed[change.Key] = true
 		s.changes[change.Key] = change
 		return false
 	}
@@ -100,33 +120,29 @@
 	return true
 }
 
-// Expire removes lapsed entries from use after their grace period, and reports whether
-// there were any.
+// Expire removes lapsed entries from use when their grace period is over, or when there
+// turns out to have been no outage, and reports whether there were any.
 func (s *State) Expire(now flow.Time) bool {
-	expired := false
-	for key, until := range s.lapsed {
-		if now.Before(until) {
-			continue
-		}
-		delete(s.lapsed, key)
+	if len(s.lapsed) == 0 || s.InGrace(now) {
+		return false
+	}
+	for key := range s.lapsed {
 		change := s.changes[key]
 		change.Server = nil
 		s.changes[key] = change
-		expired = true
 	}
-	return expired
+	clear(s.lapsed)
+	return true
 }
 
 // Since returns the changes after a revision, or a full update if that is 0.
 func (s *State) Since(now flow.Time, after flow.Revision) flow.Update {
-	update := flow.Update{Revision: s.revision, Age: s.Age(now), Full: after == 0}
+	update := flow.Update{Revision: s.revision, Age: s.Age(now), Unbroken: s.contact.until.Sub(s.contact.since), Full: after == 0}
 	for _, change := range s.changes {
 		if change.Revision <= after || (update.Full && change.Deleted) {
 			continue
 		}
 		if change.Deleted {
-			_, lapsed := s.lapsed[change.Key]
-			update.Outage = update.Outage || lapsed
 			change.Server = nil
 		}
 		update.Changes = append(update.Changes, change)
--- a/internal/process/replicator/replicator_test.go
+++ b/internal/process/replicator/replicator_test.go
@@ -43,36 +43,86 @@
 func TestApplyKeepsTheNewestChange(t *testing.T) {
 	first := flow.Update{Full: true, Revision: 10, Changes: []flow.Change{configuration(3, 4), server("a", 5), server("b", 9)}}
 	cases := map[string]struct {
+		pause   time.Duration // before the updates, without contact with the platform
 		updates []flow.Update
 		after   time.Duration // between the last update and Expire
 		want    string
 	}{
-		"full update is applied":                                                {nil, 0, "3 [a b]"},
-		"newer version replaces the old one":                                    {[]flow.Update{{Revision: 11, Changes: []flow.Change{configuration(4, 11)}}}, 0, "4 [a b]"},
-		"change of an older revision is ignored":                                {[]flow.Update{{Revision: 12, Changes: []flow.Change{configuration(2, 3)}}}, 0, "3 [a b]"},
-		"older version of a newer revision is ignored":                          {[]flow.Update{{Revision: 12, Changes: []flow.Change{configuration(2, 12)}}}, 0, "3 [a b]"},
-		"deleted server is removed":                                             {[]flow.Update{{Revision: 12, Changes: []flow.Change{deletion("servers/a", 12)}}}, 0, "3 [b]"},
-		"deletion of an older revision is ignored":                              {[]flow.Update{{Revision: 12, Changes: []flow.Change{deletion("servers/a", 2)}}}, 0, "3 [a b]"},
-		"server missing from a full update is removed":                          {[]flow.Update{{Full: true, Revision: 20, Changes: []flow.Change{configuration(3, 4), server("b", 9)}}}, 0, "3 [b]"},
-		"older full update is ignored":                                          {[]flow.Update{{Full: true, Revision: 8, Changes: []flow.Change{configuration(3, 4), server("a", 5)}}}, 0, "3 [a b]"},
-		"lapsed server stays in use for the grace period":                       {[]flow.Update{{Full: true, Outage: true, Revision: 20, Changes: []flow.Change{configuration(3, 4)}}}, time.Second, "3 [a b]"},
-		"lapsed server is removed after the grace period":                       {[]flow.Update{{Full: true, Outage: true, Revision: 20, Changes: []flow.Change{configuration(3, 4)}}}, 3 * time.Second, "3 []"},
-		"lapsed server that registers again stays":                              {[]flow.Update{{Full: true, Outage: true, Revision: 20}, {Revision: 22, Changes: []flow.Change{server("a", 22)}}}, 3 * time.Second, "0 [a]"},
-		"server deleted by a change after an outage stays for the grace period": {[]flow.Update{{Outage: true, Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}}, time.Second, "3 [a b]"},
+		"full update is applied":                                                {0, nil, 0, "3 [a b]"},
+		"newer version replaces the old one":                                    {0, []flow.Update{{Revision: 11, Changes: []flow.Change{configuration(4, 11)}}}, 0, "4 [a b]"},
+		"change of an older revision is ignored":                                {0, []flow.Update{{Revision: 12, Changes: []flow.Change{configuration(2, 3)}}}, 0, "3 [a b]"},
+		"older version of a newer revision is ignored":                          {0, []flow.Update{{Revision: 12, Changes: []flow.Change{configuration(2, 12)}}}, 0, "3 [a b]"},
+		"deleted server is removed":                                             {0, []flow.Update{{Revision: 12, Changes: []flow.Change{deletion("servers/a", 12)}}}, 0, "3 [b]"},
+		"deletion of an older revision is ignored":                              {0, []flow.Update{{Revision: 12, Changes: []flow.Change{deletion("servers/a", 2)}}}, 0, "3 [a b]"},
+		"server missing from a full update is removed":                          {0, []flow.Update{{Full: true, Revision: 20, Changes: []flow.Change{configuration(3, 4), server("b", 9)}}}, 0, "3 [b]"},
+		"older full update is ignored":                                          {0, []flow.Update{{Full: true, Revision: 8, Changes: []flow.Change{configuration(3, 4), server("a", 5)}}}, 0, "3 [a b]"},
+		"lapsed server stays in use for the grace period":                       {outage, []flow.Update{{Full: true, Revision: 20, Changes: []flow.Change{configuration(3, 4)}}}, time.Second, "3 [a b]"},
+		"lapsed server is removed after the grace period":                       {outage, []flow.Update{{Full: true, Revision: 20, Changes: []flow.Change{configuration(3, 4)}}}, 3 * time.Second, "3 []"},
+		"lapsed server that registers again stays":                              {outage, []flow.Update{{Full: true, Revision: 20}, {Revision: 22, Changes: []flow.Change{server("a", 22)}}}, 3 * time.Second, "0 [a]"},
+		"server deleted by a change after an outage stays for the grace period": {outage, []flow.Update{{Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}}, time.Second, "3 [a b]"},
+
+		"server deleted after a short loss of contact is removed":    {time.Second, []flow.Update{{Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}}, 0, "3 [a]"},
+		"server missing after a short loss of contact is removed":    {time.Second, []flow.Update{{Full: true, Revision: 20, Changes: []flow.Change{configuration(3, 4), server("a", 5)}}}, 0, "3 [a]"},
+		"server deleted while another daemon had contact is removed": {outage, []flow.Update{{Revision: 20, Unbroken: time.Minute, Changes: []flow.Change{deletion("servers/b", 20)}}}, 0, "3 [a]"},
+		"server lapses until another daemon reports its contact":     {outage, []flow.Update{{Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}, {Age: time.Second, Unbroken: time.Minute}}, 0, "3 [a]"},
+		"contact of another daemon before the outage proves nothing": {outage, []flow.Update{{Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}, {Age: outage, Unbroken: time.Minute}}, time.Second, "3 [a b]"},
+		"contact of another daemon after the outage proves nothing":  {outage, []flow.Update{{Revision: 20, Changes: []flow.Change{deletion("servers/b", 20)}}, {Unbroken: time.Second}}, time.Second, "3 [a b]"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := replicator.New()
 			s.Apply(1000, first)
+			now := flow.Time(1000).Add(tc.pause)
 			for _, update := range tc.updates {
-				s.Apply(1000, update)
+				s.Apply(now, update)
 			}
-			s.Expire(flow.Time(1000).Add(tc.after))
+			s.Expire(now.Add(tc.after))
 			is.New(t).Equal(inForce(s), tc.want)
 		})
 	}
 }
 
+// outage is a time without contact in which entries may have lapsed.
+const outage = 4 * time.Second
+
+// TestGraceCountsFromTheEndOfTheOutage checks that a server that is deleted some time
+// after an outage, when live servers would have registered again, goes out of use when
+// the grace period ends. Its grace used to count from when each daemon heard of it.
+func TestGraceCountsFromTheEndOfTheOutage(t *testing.T) {
+	is := is.New(t)
+	s := replicator.New()
+	s.Apply(1000, flow.Update{Full: true, Revision: 10, Changes: []flow.Change{server("a", 5), server("b", 6), server("c", 7)}})
+	restored := flow.Time(1000).Add(outage)
+	s.Apply(restored, flow.Update{Revision: 10})
+	s.Apply(restored+2000, flow.Update{Revision: 11, Unbroken: 2 * time.Second, Changes: []flow.Change{deletion("servers/b", 11)}})
+	is.True(!s.Expire(restored + 2400))
+	is.Equal(inForce(s), "0 [a b c]")
+	is.True(s.Expire(restored + 2500))
+	is.Equal(inForce(s), "0 [a c]")
+	s.Apply(restored+2600, flow.Update{Revision: 12, Changes: []flow.Change{deletion("servers/c", 12)}})
+	is.Equal(inForce(s), "0 [a]")
+}
+
+// TestFollowerJudgesOutageByItsOwnContact relays a deletion through a daemon that had
+// lost the platform to one that had contact through another daemon. It used to take over
+// the mark of an outage from its source, for every deletion of the update.
+func TestFollowerJudgesOutageByItsOwnContact(t *testing.T) {
+	is := is.New(t)
+	first := flow.Update{Full: true, Revision: 10, Changes: []flow.Change{server("a", 5), server("b", 6)}}
+	reader, follower := replicator.New(), replicator.New()
+	reader.Apply(0, first)
+	follower.Apply(0, first)
+	follower.Apply(2000, flow.Update{Revision: 10, Unbroken: 2 * time.Second})
+	reader.Apply(4000, flow.Update{Revision: 11, Changes: []flow.Change{deletion("servers/b", 11)}})
+	is.Equal(inForce(reader), "0 [a b]")
+	follower.Apply(4000, flow.Update{Revision: 10, Unbroken: 2 * time.Second})
+	follower.Apply(4100, reader.Since(4100, 10))
+	is.Equal(inForce(follower), "0 [a]")
+	reader.Apply(4200, follower.Since(4200, 11))
+	reader.Expire(4200)
+	is.Equal(inForce(reader), "0 [a]")
+}
+
 func TestAgeCountsFromTheNewestProof(t *testing.T) {
 	is := is.New(t)
 	s := replicator.New()
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -94,6 +94,10 @@
 // registered again within about 2 seconds.
 const LapseGrace = 2500 * time.Millisecond
 
+// MinOutage is the shortest outage of the platform in which an entry may lapse. Servers
+// renew their entries each 1.5 s, and an entry lapses after three missing renewals.
+const MinOutage = 2 * time.Second
+
 // Update holds the changes that a Source has after a revision, and says how current
 // they are.
 type Update struct {
@@ -101,7 +105,7 @@
 	Revision   Revision      `msgpack:"r"`           // all changes up to it are known
 	Full       bool          `msgpack:"f,omitempty"` // Changes are the complete state: other items were deleted
 	Age        time.Duration `msgpack:"a"`           // time since the request to the platform that proved Revision current
-	Outage     bool          `msgpack:"o,omitempty"` // entries may have lapsed because the platform was unavailable
+	Unbroken   time.Duration `msgpack:"u,omitempty"` // how long before that request the platform had been answering without an interruption
 	SourceLost bool          `msgpack:"l,omitempty"` // the daemon that relays the update has lost its own source
 }
 
