An owner of a rate stops granting before it is replaced

Cause: whoever was the owner by its own list granted in full, however old that list. Retry pools have owners of the same kind. Deputies, one after the other, also granted the deputies' share once each after changes of the list.

Change: an owner or deputy grants only while it is in touch: at most 2.4 s after a proof of currency, or, while the store answers nobody, after hosts of zones with most hosts have answered. A new owner claims its buckets and pools from the host that owned them before (call claim), and grants in full once that has released them, has been silent for 2.4 s, or 3.4 s have passed. A bucket that is handed over keeps its level. A new deputy starts with an empty bucket.

Why it works: an entry lapses 3 to 4.5 s after its host was cut off. Where an entry is removed at once, the claim waits for the lease to end.

Ruled out: that the overage of deputies and of single daemons adds up; without a change of the list no test exceeds a bound.

--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -44,6 +44,8 @@
 	{"store history is no longer available; reading all items", "the store no longer has the revision from which the watch continues", []string{"step", "peer", "revision"}},
 	{"unreadable store item ignored", "an item that another program wrote to the store cannot be decoded", []string{"step", "revision", "cause"}},
 	{"owner does not answer", "the owner of a customer's rate, which is limited without it meanwhile, or of a service's retries could not be reached", []string{"step", "peer", "thing", "cause"}},
+	{"out of touch; this daemon does not grant as an owner", "neither the store nor most other hosts have answered; another daemon may have replaced this one as the owner of customers' rates and services' retries", nil},
+	{"in touch again; this daemon may grant as an owner", "it grants in full what it owns once no other daemon does", nil},
 	{"handshake failed", "a client that is no daemon of this deployment connected", []string{"step", "peer", "cause"}},
 	{"accept failed", "the host has no file descriptors left, or a listening address is gone", []string{"step"}},
 	{"a listener failed", "a listener ended with an error; the daemon stops", nil},
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -59,8 +59,6 @@
 	// firstStartDelay is the pause before the first read when the whole deployment
 	// starts for the first time: no host is listed yet.
 	firstStartDelay = 1200 * time.Millisecond
-	// inquiryInterval is the time between two inquiries of other zones about an outage.
-	inquiryInterval = 500 * time.Millisecond
 	// expireInterval is the time between two checks for lapsed entries whose grace
 	// time is over.
 	expireInterval = 250 * time.Millisecond
@@ -87,14 +85,15 @@
 	Parts
 	catalog atomic.Pointer[cataloger.Catalog]
 
-	mu         sync.Mutex
-	state      *replicator.State
-	changed    chan struct{} // closed and replaced to wake waiting fetches
-	recentPeer string        // IP address of a daemon that connected recently
-	lastOutage time.Duration // length of the newest presumed outage of the store; 0 if there was none
-	sourceLost bool          // the platform could not be read, and neither it nor a host that ranks before this one has answered since
-
-	nextInquiry flow.Time // when other zones may be asked about an outage again; used only by the goroutine of Run
+	mu          sync.Mutex
+	state       *replicator.State
+	changed     chan struct{}        // closed and replaced to wake waiting fetches
+	recentPeer  string               // IP address of a daemon that connected recently
+	touchWanted flow.Time            // when InTouch was last called
+	heardFrom   map[string]flow.Time // by zone: when a request was sent that a host of the zone answered
+	inquired    map[string]int       // by zone: index of the host that is asked
+	lastOutage  time.Duration        // length of the newest presumed outage of the store; 0 if there was none
+	sourceLost  bool                 // the platform could not be read, and neither it nor a host that ranks before this one has answered since
 
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
 	transfers  sync.WaitGroup // transfers of configurations in progress
@@ -102,7 +101,7 @@
 
 // New returns a Follower with an empty catalog.
 func New(parts Parts) *Follower {
-	f := &Follower{Parts: parts, state: replicator.New(), changed: make(chan struct{}), nextInquiry: flow.Never}
+	f := &Follower{Parts: parts, state: replicator.New(), changed: make(chan struct{}), touchWanted: flow.Never, heardFrom: map[string]flow.Time{}, inquired: map[string]int{}}
 	f.catalog.Store(cataloger.Build(0, nil, nil, nil))
 	return f
 }
@@ -119,10 +118,11 @@
 
 // Run keeps the catalog up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var expiring sync.WaitGroup
-	expiring.Go(func() { f.expireLapsed(ctx) })
-	defer expiring.Wait()
 	defer f.transfers.Wait()
+	var background sync.WaitGroup
+	background.Go(func() { f.expireLapsed(ctx) })
+	background.Go(func() { f.keepInTouch(ctx) })
+	defer background.Wait() // it starts transfers
 	selector := newSourceSelector(f.Host)
 	if f.FirstStart {
 		flow.Sleep(ctx, firstStartDelay)
@@ -188,7 +188,9 @@
 	selector.markPlatformAnswered()
 	f.setSourceLost(false)
 	f.apply(ctx, "platform", update, platformCoalesceDelay)
-	f.inquireOutage(ctx)
+	if f.presumesOutage() {
+		f.inquire(ctx)
+	}
 	if len(f.hosts(true)) == 0 {
 		flow.Sleep(ctx, startReadInterval)
 	}
@@ -199,35 +201,6 @@
 	return min(max(f.ApplyWithin/4, minPlatformWait), maxPlatformWait)
 }
 
-// inquireOutage asks a host of each other zone whether the platform answered it while it
-// answered no host of this zone. If it did, this zone was cut off, and the entries that
-// were deleted meanwhile have not lapsed.
-func (f *Follower) inquireOutage(ctx context.Context) {
-	now := f.Clock.Now()
-	f.mu.Lock()
-	presumed := f.state.InGrace(now)
-	f.mu.Unlock()
-	if !presumed || now.Before(f.nextInquiry) {
-		return
-	}
-	f.nextInquiry = now.Add(inquiryInterval)
-	catalog := f.Catalog()
-	byZone := map[string][]string{}
-	for _, host := range f.hosts(false) {
-		byZone[catalog.ZoneOf(host)] = append(byZone[catalog.ZoneOf(host)], host)
-	}
-	request := FetchRequest{After: f.revision()}
-	for _, hosts := range byZone {
-		peer := hosts[f.Random.IntN(len(hosts))]
-		f.transfers.Go(func() {
-			defer recoverer.Recover(f.Log, "follow", func() {})
-			if answer, err := f.call(ctx, peer, request, peerAnswerMargin); err == nil {
-				f.apply(ctx, peer, answer.Update, 0)
-			}
-		})
-	}
-}
-
 // FetchRequest asks a peer for the changes since a revision.
 type FetchRequest struct {
 	After  flow.Revision `msgpack:"a"`
@@ -327,7 +300,11 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var answer FetchAnswer
+	sentAt := f.Clock.Now()
 	err := f.Dialer.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
+	if err == nil {
+		f.noteHeard(peer, sentAt)
+	}
 	return answer, err
 }
 
@@ -386,6 +363,12 @@
 	return changed
 }
 
+func (f *Follower) presumesOutage() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.InGrace(f.Clock.Now())
+}
+
 // noteOutage logs when the store may have had an outage, and when it turns out to have
 // had none. The caller must hold the lock.
 func (f *Follower) noteOutage(source string) {
--- a/internal/process/follower/outage_test.go
+++ b/internal/process/follower/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -211,3 +212,50 @@
 	unused := waitUntil(4*time.Second, func() bool { return !f.uses(anyHost) })
 	is.True(!unused)
 }
+
+// TestInTouchOnlyWithMostOfTheDeployment checks which daemons may act as owners while
+// the store or others are out of reach. A daemon that is cut off has to stop before others
+// hear that its entry is gone.
+func TestInTouchOnlyWithMostOfTheDeployment(t *testing.T) {
+	t.Parallel()
+	zoneA, zoneB := zonesOfHosts["a"], zonesOfHosts["b"]
+	cases := map[string]struct {
+		disturb func(t *testing.T, f *followers)
+		want    []string // hosts that stay in touch
+	}{
+		"the store answers nobody": {func(_ *testing.T, f *followers) { f.store.SetMode(emulator.Busy) }, slices.Concat(zoneB, zoneA)},
+		"the store answers one zone only, and the zones hear each other": {func(t *testing.T, f *followers) {
+			f.setStoreLinks(t, interrupter.Cut, zoneA...)
+		}, slices.Concat(zoneB, zoneA)},
+		"the smaller zone is cut off": {func(t *testing.T, f *followers) {
+			f.setStoreLinks(t, interrupter.Cut, zoneB...)
+			f.setPeerLinks(t, interrupter.Cut, zoneA, zoneB)
+		}, zoneA},
+		"one host is cut off": {func(t *testing.T, f *followers) {
+			f.setStoreLinks(t, interrupter.Cut, zoneB[0])
+			f.setPeerLinks(t, interrupter.Cut, zoneB[:1], slices.Concat(zoneB[1:], zoneA))
+		}, slices.Concat(zoneB[1:], zoneA)},
+		"the zones are cut off from each other and the store": {func(t *testing.T, f *followers) {
+			f.store.SetMode(emulator.Silent)
+			f.setPeerLinks(t, interrupter.Cut, zoneA, zoneB)
+		}, zoneA},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startFollowers(t)
+			tc.disturb(t, f)
+			for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				for host, one := range f.followers {
+					inTouch := one.InTouch()
+					if slices.Contains(tc.want, host) {
+						is.True(inTouch)
+					} else if time.Until(end) < 3*time.Second {
+						is.True(!inTouch)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/process/ratelimiter/ratelimiter.go
+++ b/internal/process/ratelimiter/ratelimiter.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// Restart replaces the bucket of a customer by one with the given level.
+func (b *Buckets) Restart(now flow.Time, customer string, rate Rate, level float64) {
+	delete(b.buckets, customer)
+	b.Ensure(now, customer, rate, level)
+}
+
+// Retain drops the buckets of all other customers.
+func (b *Buckets) Retain(customers map[string]bool) {
+	for customer := range b.buckets {
+		if !customers[customer] {
+			delete(b.buckets, customer)
+		}
+	}
+}
+
+// Level returns the level of the bucket of a customer, or 0 if there is none.
+func (b *Buckets) Level(now flow.Time, customer string) float64 {
+	bucket, known := b.buckets[customer]
+	if !known {
+		return 0
+	}
+	bucket.refill(now)
+	return bucket.level
+}
+
 // Take takes a token from the bucket of a customer, as Bucket.Take does. It sets
 // the rate of the bucket, and creates an empty one if there is none.
 func (b *Buckets) Take(now flow.Time, customer string, rate Rate) (ok bool, retryAfter time.Duration) {
--- a/internal/process/supervisor/allowance.go
+++ b/internal/process/supervisor/allowance.go
@@ -12,9 +12,9 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/go-logr/logr"
 
-	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/claimer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -29,41 +29,63 @@
 	ownerBackoff = time.Second
 )
 
+// peerCaller makes calls to other daemons. It is a dialer.Dialer.
+type peerCaller interface {
+	Call(ctx context.Context, address string, call messenger.Call, request, answer any) error
+}
+
 type allowanceParts struct {
 	host      string
 	peerPort  string
 	overage   float64          // tolerated excess over a rate, as a share of it
 	slack     float64          // tolerated excess in requests, on top of that share
 	retryRate ratelimiter.Rate // of the retry pool of each service
-	dialer    *dialer.Dialer
+	dialer    peerCaller
 	clock     flow.Clock
 	catalog   func() *cataloger.Catalog
+	inTouch   func() bool // whether this host may act as an owner or deputy
 	log       logr.Logger
 }
 
 // allowance implements dispatcher.Allowance. It keeps the token buckets that
-// this host owns, and requests tokens of the others from their owners. The mutex
-// guards all buckets and maps.
+// this host owns, and requests tokens of the others from their owners. While this
+// host may not use a bucket in full, because it is out of touch or another host may
+// still use it, it grants less. The mutex guards all buckets and maps.
 type allowance struct {
 	allowanceParts
 
+	startedAt flow.Time
+
 	mu             sync.Mutex
 	ownedBuckets   *ratelimiter.Buckets
 	deputyBuckets  *ratelimiter.Buckets // as deputy of owners that other daemons cannot reach
 	localBuckets   *ratelimiter.Buckets // of this daemon alone, when it reaches neither owner nor deputy
 	retryPools     *ratelimiter.Buckets // by service
 	backoffUntil   map[string]flow.Time // by host: daemons that did not answer and are not called before this time
+	silent         map[string]silence   // by host: daemons that did not answer the last call
+	deputyOf       map[string]flow.Time // by owner: when this host last granted in its place
+	claims         *claimer.Claims
+	outOfTouch     bool                 // logged last
+	claimedBy      *cataloger.Catalog   // by which the owned resources are claimed; nil if they must be claimed anew
+	owners         map[string]string    // by resource: its owner by that catalog
+	refreshed      chan struct{}        // wakes keepClaims
 	poolEmptyUntil map[string]flow.Time // services whose retry pool is empty until this time, as its owner said
 }
 
 func newAllowance(parts allowanceParts) *allowance {
 	return &allowance{
 		allowanceParts: parts,
+		startedAt:      parts.clock.Now(),
 		ownedBuckets:   ratelimiter.NewBuckets(),
 		deputyBuckets:  ratelimiter.NewBuckets(),
 		localBuckets:   ratelimiter.NewBuckets(),
 		retryPools:     ratelimiter.NewBuckets(),
 		backoffUntil:   map[string]flow.Time{},
+		silent:         map[string]silence{},
+		deputyOf:       map[string]flow.Time{},
+		refreshed:      make(chan struct{}, 1),
+		claims:         claimer.New(),
+		outOfTouch:     true,
 		poolEmptyUntil: map[string]flow.Time{},
 	}
 }
@@ -84,25 +106,32 @@
 }
 
 // Take implements dispatcher.Allowance. It requests a token from the owner, then
-// from the deputy, and if neither answers draws on a small bucket of this daemon
-// alone.
+// from the deputy, and if neither grants or refuses it, draws on a small bucket of this
+// daemon alone.
 func (a *allowance) Take(ctx context.Context, customer *flow.CustomerRule) (bool, time.Duration) {
 	catalog := a.catalog()
 	owner, deputy := catalog.OwnerOf(customer.Name)
-	if owner == a.host || owner == "" {
-		return a.takeAsOwner(customer)
+	if owner == a.host {
+		if granted, after, ok := a.takeAsOwner(catalog, customer); ok {
+			return granted, after
+		}
+		return a.takeStandalone(catalog, customer)
 	}
 	if granted, after, ok := a.requestToken(ctx, owner, DrawRequest{Customer: customer.Name}); ok {
 		return granted, after
 	}
 	if deputy == a.host {
-		return a.takeAsDeputy(customer)
-	}
-	if deputy != "" {
-		if granted, after, ok := a.requestToken(ctx, deputy, DrawRequest{Customer: customer.Name, Deputy: true}); ok {
+		if granted, after, ok := a.takeAsDeputy(owner, customer); ok {
 			return granted, after
 		}
+	} else if granted, after, ok := a.requestToken(ctx, deputy, DrawRequest{Customer: customer.Name, Deputy: true}); ok {
+		return granted, after
 	}
+	return a.takeStandalone(catalog, customer)
+}
+
+// takeStandalone takes a token of the small bucket of this daemon alone.
+func (a *allowance) takeStandalone(catalog *cataloger.Catalog, customer *flow.CustomerRule) (bool, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	rate := ratelimiter.StandaloneRate(rateOf(customer), a.overage, a.slack, len(catalog.Hosts()))
@@ -118,7 +147,7 @@
 // requestToken requests a token from another daemon. ok is false when the daemon
 // did not answer or is still in backoff.
 func (a *allowance) requestToken(ctx context.Context, peer string, request DrawRequest) (granted bool, after time.Duration, ok bool) {
-	if !a.mayCall(peer) {
+	if peer == "" || !a.mayCall(peer) {
 		return false, 0, false
 	}
 	callContext, cancel := context.WithTimeout(ctx, ownerTimeout)
@@ -128,18 +157,30 @@
 		a.backOff(ctx, peer, request.Customer+request.RetryService, err)
 		return false, 0, false
 	}
+	a.mu.Lock()
+	a.noteAnswer(peer)
+	a.mu.Unlock()
 	return answer.Granted, time.Duration(answer.RetryAfterMs) * time.Millisecond, true
 }
 
 // takeAsDeputy takes a token of a customer whose owner the requesting daemon
-// cannot reach.
-func (a *allowance) takeAsDeputy(customer *flow.CustomerRule) (bool, time.Duration) {
+// cannot reach. ok is false if this daemon is out of touch: another one may have
+// replaced it.
+func (a *allowance) takeAsDeputy(owner string, customer *flow.CustomerRule) (granted bool, after time.Duration, ok bool) {
+	if !a.inTouch() {
+		return false, 0, false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	rate := ratelimiter.DeputyRate(rateOf(customer), a.overage, a.slack)
 	now := a.clock.Now()
-	a.deputyBuckets.Ensure(now, customer.Name, rate, rate.Burst)
-	return a.deputyBuckets.Take(now, customer.Name, rate)
+	a.deputyOf[owner] = now
+	granted, after = a.takeAtDeputyRate(now, customer)
+	return granted, after, true
+}
+
+// takeAtDeputyRate takes a token from the deputy's bucket. The caller holds the mutex.
+func (a *allowance) takeAtDeputyRate(now flow.Time, customer *flow.CustomerRule) (bool, time.Duration) {
+	return a.deputyBuckets.Take(now, customer.Name, ratelimiter.DeputyRate(rateOf(customer), a.overage, a.slack))
 }
 
 // mayCall reports whether a daemon is not in backoff.
@@ -158,24 +199,32 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.backoffUntil[peer] = a.clock.Now().Add(ownerBackoff)
+	now := a.clock.Now()
+	a.backoffUntil[peer] = now.Add(ownerBackoff)
+	if !flow.IsNotOwner(cause) {
+		a.noteFailure(now, peer)
+	}
 	a.log.Info("owner does not answer", "step", "draw", "peer", peer, "thing", resource, "cause", cause.Error())
 }
 
-// takeAsOwner takes a token of a customer whose rate this host owns.
-func (a *allowance) takeAsOwner(customer *flow.CustomerRule) (bool, time.Duration) {
+// takeAsOwner takes a token of a customer whose rate this host owns. While another
+// host may still use the bucket, it grants at the deputy's rate. ok is false if this
+// daemon is out of touch.
+func (a *allowance) takeAsOwner(catalog *cataloger.Catalog, customer *flow.CustomerRule) (granted bool, after time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	a.ensureBucket(now, customer)
-	return a.ownedBuckets.Take(now, customer.Name, rateOf(customer))
-}
-
-// ensureBucket creates the bucket of a customer that this host owns, if there
-// is none. The caller holds the mutex.
-func (a *allowance) ensureBucket(now flow.Time, customer *flow.CustomerRule) {
-	rate := rateOf(customer)
-	a.ownedBuckets.Ensure(now, customer.Name, rate, ratelimiter.NewOwnerLevel(rate, a.overage, a.slack))
+	if !a.updateClaims(now, catalog) {
+		return false, 0, false
+	}
+	if a.claims.Holds(rateResource(customer.Name)) {
+		rate := rateOf(customer)
+		a.ownedBuckets.Ensure(now, customer.Name, rate, ratelimiter.NewOwnerLevel(rate, a.overage, a.slack)) // it is dropped when idle
+		granted, after = a.ownedBuckets.Take(now, customer.Name, rate)
+	} else {
+		granted, after = a.takeAtDeputyRate(now, customer)
+	}
+	return granted, after, true
 }
 
 // Retry implements dispatcher.Allowance. When the pool's owner does not answer,
@@ -185,7 +234,7 @@
 	var granted bool
 	var after time.Duration
 	if owner == a.host {
-		granted, after = a.takeRetry(service)
+		granted, after, _ = a.takeRetry(service)
 	} else if answer, wait, ok := a.requestToken(ctx, owner, DrawRequest{RetryService: service}); ok {
 		granted, after = answer, wait
 	}
@@ -205,37 +254,24 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if owner == a.host && !a.claims.Holds(retryResource(service)) {
+		return false
+	}
 	until, empty := a.poolEmptyUntil[service]
 	return !empty || !a.clock.Now().Before(until)
 }
 
-// retryResource names a service's retry pool for the choice of its owner.
-func retryResource(service string) string { return "retry/" + service }
-
 // takeRetry takes a token out of the retry pool of a service that this host
-// owns.
-func (a *allowance) takeRetry(service string) (granted bool, retryAfter time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.retryPools.Take(a.clock.Now(), service, a.retryRate)
-}
-
-// refresh creates the buckets and retry pools that this host owns by a new
-// catalog, so that they fill before they are first drawn on.
-func (a *allowance) refresh(catalog *cataloger.Catalog) {
+// owns. ok is false while it may not use the pool.
+func (a *allowance) takeRetry(service string) (granted bool, retryAfter time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	for _, customer := range catalog.Customers() {
-		if owner, _ := catalog.OwnerOf(customer.Name); owner == a.host && customer.PerSecond > 0 {
-			a.ensureBucket(now, customer)
-		}
-	}
-	for _, service := range catalog.Services() {
-		if owner, _ := catalog.OwnerOf(retryResource(service.Name)); owner == a.host {
-			a.retryPools.Ensure(now, service.Name, a.retryRate, 0)
-		}
+	if !a.updateClaims(now, a.catalog()) || !a.claims.Holds(retryResource(service)) {
+		return false, claimInterval, false
 	}
+	granted, retryAfter = a.retryPools.Take(now, service, a.retryRate)
+	return granted, retryAfter, true
 }
 
 func (a *allowance) sweep() {
@@ -243,15 +279,15 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	a.ownedBuckets.Sweep(now, idleExpiry)
-	a.deputyBuckets.Sweep(now, idleExpiry)
 	a.localBuckets.Sweep(now, idleExpiry)
 	a.retryPools.Sweep(now, idleExpiry)
+	maps.DeleteFunc(a.silent, func(_ string, s silence) bool { return now.Sub(s.lastFailure) > idleExpiry })
 	maps.DeleteFunc(a.poolEmptyUntil, func(_ string, until flow.Time) bool { return now.After(until) })
 }
 
 // endpoints returns the handlers of the calls that other daemons may make.
 func (a *allowance) endpoints() map[messenger.Call]endpoint.Endpoint {
-	return map[messenger.Call]endpoint.Endpoint{messenger.CallDraw: a.handleDraw}
+	return map[messenger.Call]endpoint.Endpoint{messenger.CallDraw: a.handleDraw, messenger.CallClaim: a.handleClaim}
 }
 
 func (a *allowance) handleDraw(_ context.Context, message any) (any, error) {
@@ -259,26 +295,41 @@
 	if err := message.(listener.Request).Decode(&request); err != nil {
 		return nil, err
 	}
+	answer, err := a.draw(request)
+	if err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
+
+// draw grants or refuses a token to another daemon. The error is a flow.NotOwnerError if
+// this daemon may not decide.
+func (a *allowance) draw(request DrawRequest) (DrawAnswer, error) {
 	catalog := a.catalog()
 	if request.RetryService != "" {
 		if owner, _ := catalog.OwnerOf(retryResource(request.RetryService)); owner != a.host {
-			return nil, flow.NotOwnerError("the daemon is not the owner of the service's retries")
+			return DrawAnswer{}, flow.NotOwnerError("the daemon is not the owner of the service's retries")
 		}
-		granted, retryAfter := a.takeRetry(request.RetryService)
-		return &DrawAnswer{Granted: granted, RetryAfterMs: retryAfter.Milliseconds()}, nil
+		granted, retryAfter, _ := a.takeRetry(request.RetryService)
+		return DrawAnswer{Granted: granted, RetryAfterMs: retryAfter.Milliseconds()}, nil
 	}
 	customer := catalog.Customer(request.Customer)
+	if customer == nil {
+		return DrawAnswer{}, flow.NotOwnerError("the customer is not known")
+	}
+	var granted, ok bool
+	var retryAfter time.Duration
 	owner, deputy := catalog.OwnerOf(request.Customer)
-	take := a.takeAsOwner
 	switch {
-	case customer == nil:
-		return nil, flow.NotOwnerError("the customer is not known")
 	case owner == a.host:
+		granted, retryAfter, ok = a.takeAsOwner(catalog, customer)
 	case request.Deputy && deputy == a.host:
-		take = a.takeAsDeputy
+		granted, retryAfter, ok = a.takeAsDeputy(owner, customer)
 	default:
-		return nil, flow.NotOwnerError("the daemon is not the owner of the customer's rate")
+		return DrawAnswer{}, flow.NotOwnerError("the daemon is not the owner of the customer's rate")
+	}
+	if !ok {
+		return DrawAnswer{}, flow.NotOwnerError("the daemon is out of touch")
 	}
-	granted, retryAfter := take(customer)
-	return &DrawAnswer{Granted: granted, RetryAfterMs: retryAfter.Milliseconds()}, nil
+	return DrawAnswer{Granted: granted, RetryAfterMs: retryAfter.Milliseconds()}, nil
 }
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -199,6 +199,7 @@
 		dialer:    callDialer,
 		clock:     s.clock,
 		catalog:   s.follower.Catalog,
+		inTouch:   s.follower.InTouch,
 		log:       s.log.WithName("rates"),
 	})
 	s.executor = executor.New(executor.Parts{
@@ -294,6 +295,7 @@
 		})
 	}
 	s.goroutines.Go(func() { s.follower.Run(background) })
+	s.goroutines.Go(func() { s.allowance.keepClaims(background) })
 	s.goroutines.Go(func() { s.sweep(background) })
 	serve(func() error { return s.control.Serve(background, s.listeners[peerAddress]) })
 	serve(func() error { return s.offers.Serve(background, s.listeners[dataAddress]) })
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -94,6 +94,11 @@
 // registered again within about 2 seconds.
 const LapseGrace = 2500 * time.Millisecond
 
+// OwnerLease is how long a host may act as the owner of a resource after it was last known
+// to be the owner. A host whose entry lapses since it is cut off loses the resource
+// earlier than others hear that the entry is gone.
+const OwnerLease = 2400 * time.Millisecond
+
 // MinOutage is the shortest outage of the platform in which an entry may lapse. Servers
 // renew their entries each 1.5 s, and an entry lapses after three missing renewals.
 const MinOutage = 2 * time.Second
