A repeated refusal is not taken for that of the next request

Cause: a refusal without the request's id was accepted on any connection, since a server may shed a request before it reads the headers; one with several ids was accepted if one of them was right.

Change: on a reused connection a refusal counts only with the id of its request, alone. A response without the right id closes the connection.

Why it works: the first response on a connection can only answer its first request; every later one must say which request it answers.

--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -179,3 +179,10 @@
 	defer a.mu.Unlock()
 	return a.connected
 }
+
+// Reused reports whether the attempt's connection has been written to before.
+func (a *Attempt) Reused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn == nil || a.startOffset > 0
+}
--- a/internal/request/executor/send.go
+++ b/internal/request/executor/send.go
@@ -74,7 +74,7 @@
 			expiry.Cancel()
 			return nil, out
 		}
-		return e.collect(ctx, expiry, s, response)
+		return e.collect(ctx, expiry, s, trace, response)
 	}
 }
 
@@ -129,15 +129,16 @@
 
 // collect checks and collects a response. It must echo the request's id, and a
 // successful one must not be encoded and must carry the server's seal.
-func (e *Executor) collect(ctx context.Context, expiry *expirer.Expiry, s *slot, response *http.Response) (*responder.Response, outcome) {
-	if refused, isNotRun := e.notRunOutcome(s, response); isNotRun {
+func (e *Executor) collect(ctx context.Context, expiry *expirer.Expiry, s *slot, trace *sealer.Attempt, response *http.Response) (*responder.Response, outcome) {
+	if refused, isNotRun := e.notRunOutcome(s, response, trace.Reused()); isNotRun {
 		_, _ = io.CopyN(io.Discard, response.Body, responder.BufferLimit)
 		_ = response.Body.Close()
 		expiry.Cancel()
 		return nil, refused
 	}
-	echoed := response.Header.Get(e.Names.RequestID)
-	if echoed != s.offer.ID || response.StatusCode < http.StatusOK {
+	echoed := response.Header[e.Names.RequestID]
+	if !slices.Equal(echoed, []string{s.offer.ID}) || response.StatusCode < http.StatusOK {
+		trace.Seal() // the response to this request may follow on the connection
 		expiry.Cancel()
 		_ = response.Body.Close()
 		return nil, e.failedOutcome(flow.VerdictFailed, flow.ReasonAnswerForeign, fmt.Errorf("the answer echoes request %q", echoed))
@@ -166,15 +167,15 @@
 }
 
 // notRunOutcome recognizes the responses with which a backend server states
-// that it did not run the request. Such a response may lack the id, because a
-// server may shed a request before it reads the headers, but must not echo
-// another one.
-func (e *Executor) notRunOutcome(s *slot, response *http.Response) (outcome, bool) {
+// that it did not run the request. A server may shed a request before it reads the
+// headers, so that the response lacks the id. That is accepted only as the first
+// response on a connection: on a reused one it may be the late copy of an earlier refusal.
+func (e *Executor) notRunOutcome(s *slot, response *http.Response, reused bool) (outcome, bool) {
 	if !claimsNotRun(e.Names, response) {
 		return outcome{}, false
 	}
 	echoed := response.Header[e.Names.RequestID]
-	if len(echoed) > 0 && !slices.Contains(echoed, s.offer.ID) {
+	if !slices.Equal(echoed, []string{s.offer.ID}) && (len(echoed) > 0 || reused) {
 		return outcome{}, false
 	}
 	out := e.failedOutcome(flow.VerdictShed, flow.ReasonServerShed, errors.New("the backend server did not run it: "+response.Status))
