A stopping daemon passes on no request that comes late

Cause: 2.8 s after SIGTERM the listener and idle connections are closed, but a connection with a request in progress was read on, and what came behind it, or in pieces, was passed on. Besides, from 1.5 s on each response closed its connection, although requests behind it had been read and passed on.

Change: from 2.8 s on no further request is read, and one that had begun to arrive is refused as not run. During a shutdown a connection closes after the response to the last request that has begun to arrive on it.

Why it works: whoever sends later is told so, or finds the connection closed without its request having been read; what was read is answered.

Result: TestStopPassesOnNoLateRequest (502 in place of 503 before), TestDrainHandlesNoLaterRequest and TestShutdownAnswersRequestsBehindAnother failed before and pass.

--- a/internal/connection/pipeliner/pipeliner.go
+++ b/internal/connection/pipeliner/pipeliner.go
@@ -58,7 +58,8 @@
 	Refuse func(status int, cause error) *http.Response // the response to an unreadable request
 	Log    logr.Logger
 
-	closing    atomic.Bool // close each connection after its next response
+	closing    atomic.Bool // close each connection after its last response
+	draining   atomic.Bool // read no further requests
 	goroutines sync.WaitGroup
 	mu         sync.Mutex
 	conns      map[*conn]struct{}
@@ -80,9 +81,17 @@
 	}
 }
 
-// DisableKeepAlives makes the server close each connection after its next response.
+// DisableKeepAlives makes the server close each connection after the response to the last
+// request that it has begun to read.
 func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
+// Drain makes the server read no further requests. Those that have begun to arrive are
+// answered, and each connection is closed after the last one.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.closing.Store(true)
+}
+
 // CloseIdle closes the connections without a pending request.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -115,6 +124,9 @@
 	exchanges chan *exchange    // in the order of their requests
 	ctx       context.Context
 	cancel    context.CancelFunc
+
+	mu     sync.Mutex
+	ending bool // no further request is read
 }
 
 // exchange is one request and its response.
@@ -161,6 +173,12 @@
 func (c *conn) readRequests() {
 	for {
 		request, body, err := c.readRequest()
+		if errors.Is(err, errEnding) {
+			if c.pending.Load() > 0 {
+				c.awaitClose()
+			}
+			return
+		}
 		if errors.Is(err, errCallerLeft) {
 			c.cancel() // also if the last request is incomplete
 			return
@@ -190,7 +208,31 @@
 	}
 }
 
-var errCallerLeft = errors.New("the caller has left")
+var (
+	errCallerLeft = errors.New("the caller has left")
+	errEnding     = errors.New("no further request is read")
+)
+
+// begin counts a request that has begun to arrive as pending. It reports false if the
+// request is not to be read.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.server.draining.Load() {
+		return false
+	}
+	c.pending.Add(1)
+	return true
+}
+
+// endsNow reports whether the connection ends with the response that is about to be
+// written, because the server shuts down and no other request has begun to arrive.
+func (c *conn) endsNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = c.ending || c.server.closing.Load() && c.pending.Load() == 1
+	return c.ending
+}
 
 // statusError is the error of a request that is refused before it is handled.
 type statusError struct {
@@ -201,8 +243,8 @@
 func (e *statusError) Error() string { return e.err.Error() }
 
 // readRequest reads one request with its body. The error is errCallerLeft if the caller
-// closed the connection or did not send all of the request, and a *statusError if the
-// request is to be refused.
+// closed the connection or did not send all of the request, errEnding if the server reads
+// no further request, and a *statusError if the request is to be refused.
 func (c *conn) readRequest() (*http.Request, []byte, error) {
 	limits := withDefaults(c.server.Limits())
 	c.limited.N = int64(limits.HeaderBytes) + int64(c.reader.Size())
@@ -215,7 +257,9 @@
 		return nil, nil, errCallerLeft
 	}
 	// The request is pending from its first byte on, so that a shutdown waits for it.
-	c.pending.Add(1)
+	if !c.begin() {
+		return nil, nil, errEnding
+	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -307,7 +351,7 @@
 	}
 	response.ProtoMajor, response.ProtoMinor = 1, 1
 	response.Request = ex.request
-	response.Close = response.Close || ex.last || c.server.closing.Load()
+	response.Close = response.Close || ex.last || c.endsNow()
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	writer := bufio.NewWriterSize(c.raw, 4096)
 	if err := response.Write(writer); err != nil {
--- a/internal/connection/pipeliner/pipeliner_test.go
+++ b/internal/connection/pipeliner/pipeliner_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,3 +212,70 @@
 	_, err := reader.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// TestShutdownAnswersRequestsBehindAnother sends three requests on one connection, and
+// shuts the server down while the first runs. All had been read, and were being handled:
+// the responses to the second and third used to be lost, since that to the first closed the
+// connection.
+func TestShutdownAnswersRequestsBehindAnother(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int64
+	release := make(chan struct{})
+	server, conn := serve(t, func(_ context.Context, request *http.Request, _ []byte) *http.Response {
+		handled.Add(1)
+		<-release
+		return okResponse(request.URL.Path)
+	}, flow.CallerLimits{})
+	for _, path := range []string{"/a", "/b", "/c"} {
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
+	}
+	for handled.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	server.DisableKeepAlives()
+	server.Drain()
+	close(release)
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/a", "/b", "/c"} {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+		is.Equal(response.Close, path == "/c")
+	}
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// TestDrainHandlesNoLaterRequest sends a request behind one that runs while the server
+// drains. It must not be handled: its response would be lost at the end of the daemon.
+func TestDrainHandlesNoLaterRequest(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int64
+	release := make(chan struct{})
+	server, conn := serve(t, func(_ context.Context, request *http.Request, _ []byte) *http.Response {
+		handled.Add(1)
+		<-release
+		return okResponse(request.URL.Path)
+	}, flow.CallerLimits{})
+	fmt.Fprint(conn, "GET /early HTTP/1.1\r\nHost: a\r\n\r\n")
+	for handled.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	server.DisableKeepAlives()
+	server.Drain()
+	fmt.Fprint(conn, "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.True(response.Close)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "/early")
+	_, err = reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(handled.Load(), int64(1))
+}
--- a/internal/process/supervisor/stop.go
+++ b/internal/process/supervisor/stop.go
@@ -31,8 +31,8 @@
 // stop shuts down without aborting requests. Readiness fails at once. Callers
 // and other daemons are still served while callers notice, because the backend
 // server has no other way to receive work. Then new connections are no longer
-// accepted, offers are refused as not run, and requests in progress are awaited
-// until shortly before the end of the grace period.
+// accepted, nor requests on the open ones, offers are refused as not run, and requests
+// in progress are awaited until shortly before the end of the grace period.
 func (s *Sidecar) stop() {
 	stopStarted := s.clock.Now()
 	s.stopping.Store(true)
@@ -48,6 +48,8 @@
 		}
 		if elapsed >= acceptFor {
 			s.executor.Stop()
+			s.callers.Drain()
+			s.dispatcher.Drain()
 			_ = s.listeners[callerAddress].Close()
 			s.callers.CloseIdle()
 			if s.callers.Pending() == 0 && s.offers.Active() == 0 {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -107,6 +108,8 @@
 type Dispatcher struct {
 	Parts
 
+	draining atomic.Bool // set by Drain: no further request is taken
+
 	stopped context.Context // done after Stop: no request waits for a slot
 	stop    context.CancelFunc
 	aborted context.Context // done after Abort: no request waits for a response
@@ -135,6 +138,10 @@
 	}
 }
 
+// Drain refuses all further requests, as not run: one that begins late in a planned stop
+// would be cut at its end. Requests that wait for a slot go on.
+func (d *Dispatcher) Drain() { d.draining.Store(true) }
+
 // Stop refuses the requests that have no slot yet, as not run. Running requests
 // continue.
 func (d *Dispatcher) Stop() { d.stop() }
@@ -199,6 +206,9 @@
 
 // runSteps runs the steps in order up to the first refusal.
 func (d *Dispatcher) runSteps(ctx context.Context, ex *exchange) *flow.Refusal {
+	if d.draining.Load() {
+		return d.newRefusal(flow.ReasonStopping, stepDispatch, "the daemon is stopping")
+	}
 	if refusal := d.findRoute(ex); refusal != nil {
 		return refusal
 	}
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -171,6 +171,22 @@
 func TestStopWaitsForRunningRequest(t *testing.T) {
 	is := is.New(t)
 	dep := startTestDeploymentWithCallers(t, 2, 0)
+	hangBookings(dep)
+	stopping := dep.hosts[0].daemon
+	stopping.signal(syscall.SIGTERM)
+	time.Sleep(stopGrace - hangTime - 500*time.Millisecond)
+	response := sendBooking(t, dep, "late-1", 2*hangTime)
+	is.Equal(response.StatusCode, http.StatusOK)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), responseBody("late-1"))
+	is.True(stopping.wait(stopGrace))
+	is.Equal(stopping.exitStatus(), cleanExit)
+}
+
+// hangBookings makes the server of the bookings respond only after hangTime, and all routes
+// wait for that long.
+func hangBookings(dep *deployment) {
 	dep.mu.Lock()
 	for i := range dep.configuration.Routes {
 		dep.configuration.Routes[i].Timeout = 2 * hangTime
@@ -179,16 +195,63 @@
 	dep.mu.Unlock()
 	time.Sleep(time.Second) // until the daemons apply the configuration
 	dep.hosts[1].backend.setMode(modeHang)
+}
+
+// A daemon that stops passes on no request that comes late in its grace period, since it
+// would be cut at the end: neither one behind a request that still runs, nor one whose head
+// comes in pieces.
+func TestStopPassesOnNoLateRequest(t *testing.T) {
+	is := is.New(t)
+	dep := startTestDeploymentWithCallers(t, 2, 0)
+	hangBookings(dep)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", address(dep.hosts[0].privateIP, portCaller))
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	dep.hosts[0].backend.setMode(modeHang)
+	head := func(request, id string) string {
+		return fmt.Sprintf("%s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: 9000\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			request, dep.names.RequestID, id, dep.names.TimeLeft, dep.names.Key, dep.keysInUse()[1])
+	}
+	kept, pieces := dial(), dial()
+	_, err := io.WriteString(kept, head("GET /read/x", "early"))
+	is.NoErr(err)
+	time.Sleep(300 * time.Millisecond)
 	stopping := dep.hosts[0].daemon
+	began := time.Now()
 	stopping.signal(syscall.SIGTERM)
-	time.Sleep(stopGrace - hangTime - 500*time.Millisecond)
-	response := sendBooking(t, dep, "late-1", 2*hangTime)
+	at := func(elapsed time.Duration) { time.Sleep(time.Until(began.Add(elapsed))) }
+
+	at(2 * time.Second)
+	late := head("POST /book/x", "in-pieces")
+	_, err = io.WriteString(pieces, late[:30])
+	is.NoErr(err)
+	at(3200 * time.Millisecond)
+	_, err = io.WriteString(kept, head("POST /book/x", "behind"))
+	is.NoErr(err)
+	_, err = io.WriteString(pieces, late[30:])
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(pieces), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Close)
+	is.True(time.Since(began) < 3600*time.Millisecond) // at once
+
+	reader := bufio.NewReader(kept)
+	response, err = http.ReadResponse(reader, nil)
+	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
-	body, err := io.ReadAll(response.Body)
+	is.True(response.Close)
+	_, err = io.Copy(io.Discard, response.Body)
 	is.NoErr(err)
-	is.Equal(string(body), responseBody("late-1"))
+	_, err = reader.ReadByte()
+	is.Equal(err, io.EOF)
 	is.True(stopping.wait(stopGrace))
-	is.Equal(stopping.exitStatus(), cleanExit)
+	for _, r := range dep.runs.all() {
+		is.Equal(r.id, "early")
+	}
 }
 
 // sendBooking sends a request that may run only once to the daemon of the first host, and
