--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -33,10 +33,16 @@
 // startTestDeploymentWithCallers starts a small deployment with the given number of
 // callers for each host.
 func startTestDeploymentWithCallers(t *testing.T, hosts, callersPerDaemon int) *deployment {
+	t.Helper()
+	return startTestDeploymentOf(t, hosts, callersPerDaemon, "-race")
+}
+
+// startTestDeploymentOf starts a small deployment of daemons that are built with a flag.
+func startTestDeploymentOf(t *testing.T, hosts, callersPerDaemon int, flag string) *deployment {
 	t.Helper()
 	is := is.New(t)
 	program := filepath.Join(t.TempDir(), "coltsfootflow")
-	out, err := exec.Command("go", "build", "-race", "-o", program, "../../cmd/coltsfootflow").CombinedOutput()
+	out, err := exec.Command("go", "build", flag, "-o", program, "../../cmd/coltsfootflow").CombinedOutput()
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
@@ -257,9 +263,15 @@
 // sendBooking sends a request that may run only once to the daemon of the first host, and
 // returns the response.
 func sendBooking(t *testing.T, dep *deployment, id string, timeLeft time.Duration) *http.Response {
+	t.Helper()
+	return sendBookingTo(t, dep, 0, id, timeLeft)
+}
+
+// sendBookingTo sends such a request to the daemon of a host.
+func sendBookingTo(t *testing.T, dep *deployment, host int, id string, timeLeft time.Duration) *http.Response {
 	t.Helper()
 	is := is.New(t)
-	conn, err := net.Dial("tcp", address(dep.hosts[0].privateIP, portCaller))
+	conn, err := net.Dial("tcp", address(dep.hosts[host].privateIP, portCaller))
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
