Callers of the tests close idle connections before the daemons do

Cause: TestWithdrawnKeyRunsNoRequest/messages_from_a_host_are_lost met an EOF in place of a refusal once. The HTTP client of the callers opens spare connections; a daemon closes one on which nothing has come within header-timeout (5 s), and a request that is sent then is not read. Trial, the client logging the age of its connections at their first byte: one was closed unused after 5,001 ms, one first used after 2,434 ms. That the daemon closes unused connections is asked for by TestHostileClientsOnCallerPort.

Ruled out: a change of the lease (none is logged), a stop, a limit on connections, a panic on a response that is passed on (the request is refused before it is forwarded).

Change: the client closes idle connections after 4 s. The check is unchanged.

--- a/internal/standin/caller/client.go
+++ b/internal/standin/caller/client.go
@@ -17,8 +17,15 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
-// maxIdleConnections bounds the idle connections to one address.
-const maxIdleConnections = 256
+const (
+	// maxIdleConnections bounds the idle connections to one address.
+	maxIdleConnections = 256
+	// idleTimeout is how long a connection is kept without a request. It is shorter than
+	// the default header-timeout of daemons, after which they close a connection that has
+	// not been used yet: the transport may open more connections than it needs, and a
+	// request on one of them would cross its close.
+	idleTimeout = 4 * time.Second
+)
 
 // request is one request and its record.
 type request struct {
@@ -41,6 +48,7 @@
 		transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: options.Timeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 			DisableKeepAlives:   options.FreshConnections,
 		},
