An old silence does not release a rate, nor is an announcement knowledge

A successor took the record of an owner's silence from long before for a release; and an answer that only announces a configuration counted as hearing all that its sender knows, so that a daemon could hold itself to be in touch with an older list.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -302,7 +302,7 @@
 	var answer FetchAnswer
 	sentAt := f.Clock.Now()
 	err := f.Dialer.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
-	if err == nil {
+	if err == nil && !answer.Large { // what is only announced is not known yet
 		f.noteHeard(peer, sentAt)
 	}
 	return answer, err
--- a/internal/process/supervisor/ownership.go
+++ b/internal/process/supervisor/ownership.go
@@ -80,7 +80,8 @@
 		a.claimedBy = catalog
 	}
 	for host, resources := range a.claims.Awaited() {
-		if silent := a.silent[host]; silent.lastFailure.Sub(silent.firstFailure) > flow.OwnerLease {
+		silent := a.silent[host]
+		if silent.lastFailure.Sub(silent.firstFailure) > flow.OwnerLease && now.Sub(silent.lastFailure) <= maxFailureGap {
 			for _, resource := range resources {
 				a.claims.Released(host, resource, 0, false)
 			}
--- a/internal/process/supervisor/ownership_test.go
+++ b/internal/process/supervisor/ownership_test.go
@@ -512,3 +512,34 @@
 		})
 	}
 }
+
+// TestOldSilenceIsNoRelease checks that a host which did not answer for some seconds, long
+// before its successor replaces it, does not count as silent. It has not been called since,
+// and may be using what it owned.
+func TestOldSilenceIsNoRelease(t *testing.T) {
+	cases := map[string]struct {
+		ago  time.Duration
+		want bool
+	}{
+		"silent until now": {500 * time.Millisecond, true},
+		"silent long ago":  {20 * time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation()
+			s.run(10 * time.Second)
+			before := s.catalogs[len(s.catalogs)-1].catalog
+			owner, second := before.OwnerOf(customerName)
+			last := s.now.Add(-tc.ago)
+			successor := s.host(second).allowance
+			successor.silent[owner] = silence{firstFailure: last.Add(-flow.OwnerLease - time.Second), lastFailure: last}
+			s.removed[owner] = true
+			s.publish()
+			_, third := s.catalogs[len(s.catalogs)-1].catalog.OwnerOf(customerName)
+			successor.refresh(s.catalogs[len(s.catalogs)-1].catalog)
+			successor.claims.Released(third, rateResource(customerName), 0, false)
+			successor.refresh(s.catalogs[len(s.catalogs)-1].catalog)
+			is.New(t).Equal(successor.claims.Holds(rateResource(customerName)), tc.want)
+		})
+	}
+}
