The test of a restarted daemon listens on an address of its own

The test closes its listener and listens on the same port again; on 127.0.0.1 a test beside it took that port in between.

Change: it uses 127.0.45.1. The checks are unchanged.

--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -253,7 +253,8 @@
 // restarted. The offer must reach the new process.
 func TestOfferAfterRestartOfDaemon(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own: on 127.0.0.1 another test may take the port before the restart.
+	listener, err := net.Listen("tcp", "127.0.45.1:0")
 	is.NoErr(err)
 	address := listener.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
