A caller's record says why each address refused

Cause: a red run of TestPlannedStopCutsNoRequest kept only the last address's result, so that it could not be told why the callers had left the two healthy daemons before it.

Change: the record keeps the reason of each address, and failures print it.

--- a/internal/standin/caller/client.go
+++ b/internal/standin/caller/client.go
@@ -64,6 +64,7 @@
 	r.record.Latency = time.Since(r.start)
 	r.record.LatencyMicros = r.record.Latency.Microseconds()
 	r.read(response, body)
+	r.record.Reasons = append(r.record.Reasons, r.record.Reason)
 	r.record.Result = r.classify(parent, response, err)
 	r.record.Error = ""
 	if err != nil {
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -50,6 +50,7 @@
 	Sent           int64         `json:"sent"`           // actual start, as Unix time in nanoseconds
 	LatencyMicros  int64         `json:"latency-micros"` // from the intended start to the end of the response
 	Ingresses      []string      `json:"ingresses"`      // addresses that were tried, in order
+	Reasons        []flow.Reason `json:"reasons"`        // of the response of each address; empty without a refusal
 	Status         int           `json:"status"`         // 0 without a response
 	Outcome        flow.Outcome  `json:"outcome,omitempty"`
 	Reason         flow.Reason   `json:"reason,omitempty"`
--- a/test/check_test.go
+++ b/test/check_test.go
@@ -189,8 +189,8 @@
 }
 
 func describeRecord(r caller.Record) string {
-	return fmt.Sprintf("%s %s at %s to %v: %s %d %s %s (reused %v) after %v %s", r.Method, r.CallerRequest,
-		time.Unix(0, r.Intended).Format("15:04:05.000"), r.Ingresses, r.Result, r.Status, r.Reason, r.RequestID, r.Reused, r.Latency, r.Error)
+	return fmt.Sprintf("%s %s at %s to %v %q: %s %d %s %s (reused %v) after %v %s", r.Method, r.CallerRequest,
+		time.Unix(0, r.Intended).Format("15:04:05.000"), r.Ingresses, r.Reasons, r.Result, r.Status, r.Reason, r.RequestID, r.Reused, r.Latency, r.Error)
 }
 
 // checkAgainstJournals compares the outcomes at callers with the journals of backend
