The state of another daemon is not reported as the ingress's own

Cause: a request without a free slot is offered to the stopping daemon last. The ingress passed on its "stopping", which says "Ask another host", as its own.

Change: "stopping", "no-lease" and "zone-out" of another daemon end a request as "no-capacity", with a time after which to repeat.

Why it works: only a state of the ingress itself sends its callers elsewhere.

Result: TestRefusalOfAnotherDaemonIsNotTheIngressesOwn failed before in 4 of 8 cases (stopping != no-capacity, no-lease != no-capacity) and passes.

--- a/internal/request/receiver/responses_test.go
+++ b/internal/request/receiver/responses_test.go
@@ -175,6 +175,47 @@
 	}
 }
 
+// TestRefusalOfAnotherDaemonIsNotTheIngressesOwn has the daemons of all backend servers
+// refuse for a state of their own. A caller that is told that a daemon is stopping or
+// without a lease asks another one, so it must be told only of the daemon it asked.
+func TestRefusalOfAnotherDaemonIsNotTheIngressesOwn(t *testing.T) {
+	all := func(change func(snapshot *holder.Snapshot)) func(c *cluster) {
+		return func(c *cluster) {
+			for _, h := range c.hosts {
+				snapshot := *h.holder.Load()
+				change(&snapshot)
+				h.holder.Store(&snapshot)
+			}
+		}
+	}
+	cases := map[string]struct {
+		refuse func(c *cluster)
+		reason flow.Reason
+	}{
+		"others are stopping":         {all(func(s *holder.Snapshot) { s.Stopping = true }), flow.ReasonNoCapacity},
+		"others have no lease":        {all(func(s *holder.Snapshot) { s.LeaseUntil = flow.Never }), flow.ReasonNoCapacity},
+		"backend servers are leaving": {all(func(s *holder.Snapshot) { s.Senders = nil }), flow.ReasonLeaving},
+		"ingress has no lease":        {func(c *cluster) { c.holder.Store(snapshotWithoutLease(c)) }, flow.ReasonNoLease},
+	}
+	for name, tc := range cases {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+", "+method, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				c := newCluster(t, 2)
+				tc.refuse(c)
+				got := c.send(t, method, "/ledger/wheels", "", withAPIKey())
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.Equal(got.outcome, flow.OutcomeNotRun)
+				is.Equal(got.reason, tc.reason)
+				is.True(got.header.Get("Retry-After") != "")
+				is.Equal(len(c.requests()), 0)
+			})
+		}
+	}
+}
+
 // TestSurplusResponseIsNotUsed has a backend server write two responses to one
 // request on a connection that is reused: the second must not become the
 // response to the next request.
--- a/internal/request/receiver/retry.go
+++ b/internal/request/receiver/retry.go
@@ -29,18 +29,36 @@
 				last = last.supersededBy(outcome{response, err})
 				reason, failed := failureReason(exchange, response, err)
 				if !failed || exchange.Attempts == 0 || ctx.Err() != nil {
-					return last.response, last.err
+					return last.response, parts.refusalForCaller(last.err)
 				}
 				giveUp := budgets.decideRetry(parts.Clock.Now(), exchange, parts.newFailure(exchange, reason))
 				if giveUp != retrier.GiveUpNone {
 					parts.Log.V(1).Info("failed attempt is not retried", "step", "retry", "request", exchange.ID, "reason", string(reason), "cause", string(giveUp))
-					return last.response, last.err
+					return last.response, parts.refusalForCaller(last.err)
 				}
 			}
 		}
 	}
 }
 
+// refusalForCaller returns the error to report to the caller. The state of another
+// daemon, that it is stopping or holds no lease, is not the state of this one: a caller
+// that is told of it leaves this daemon for another.
+func (p *Parts) refusalForCaller(err error) error {
+	refusal, ok := flow.AsRefusal(err)
+	if !ok || refusal.Peer == p.Host {
+		return err
+	}
+	switch refusal.Reason {
+	case flow.ReasonStopping, flow.ReasonNoLease, flow.ReasonZoneOut:
+		return &flow.Refusal{
+			Reason: flow.ReasonNoCapacity, Step: refusal.Step, Peer: refusal.Peer,
+			Detail: string(refusal.Reason) + ": " + refusal.Detail, RetryAfter: refusal.RetryAfter,
+		}
+	}
+	return err
+}
+
 // outcome is the result of an attempt.
 type outcome struct {
 	response any
