A repeated refusal: the daemon with its own interface

Cause: a refusal without the request's id was accepted on any connection.

Change: it counts only as the first response on a connection, else with the id of its request, alone. A service without request-id-header has nothing to tell two refusals apart, so its refusals close their connections.

Why it works: every later response on a connection must say which request it answers, or there is none.

--- a/internal/process/sender/transport.go
+++ b/internal/process/sender/transport.go
@@ -57,6 +57,9 @@
 	return response, true, nil
 }
 
+// Reused reports whether the connection of the request had carried another one before.
+func (t *Ticket) Reused() bool { return t.attempt.Reused() }
+
 // CloseConnection closes the connection of the response, so that it is not reused.
 func (t *Ticket) CloseConnection() { t.attempt.Seal() }
 
--- a/internal/request/acceptor/send.go
+++ b/internal/request/acceptor/send.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/process/sender"
@@ -46,12 +47,12 @@
 		ticket.Finish(verdict, a.Clock.Now().Sub(sentAt))
 		return nil, a.newRefusal(reason, stepSend, err.Error())
 	}
-	if refusal := a.checkResponse(inbound, response); refusal != nil {
+	if refusal := a.checkResponse(inbound, ticket, response); refusal != nil {
 		_ = response.Body.Close()
 		verdict := flow.VerdictShed
 		if refusal.Reason != flow.ReasonServerShed {
 			verdict = flow.VerdictFailed
-			ticket.CloseConnection()
+			ticket.CloseConnection() // the right response may follow on it
 		}
 		ticket.Finish(verdict, a.Clock.Now().Sub(sentAt))
 		return nil, refusal
@@ -111,7 +112,7 @@
 
 // checkResponse refuses a response that belongs to another request, one by which
 // the backend server sheds load, and one that switches protocols.
-func (a *Acceptor) checkResponse(inbound *inboundRequest, response *http.Response) *flow.Refusal {
+func (a *Acceptor) checkResponse(inbound *inboundRequest, ticket *sender.Ticket, response *http.Response) *flow.Refusal {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return a.newRefusal(flow.ReasonServerFailed, stepRespond, "the backend server switched protocols")
 	}
@@ -120,28 +121,31 @@
 		return nil
 	}
 	shed := service.ShedStatus == response.StatusCode && (service.ShedHeader == "" || response.Header.Get(service.ShedHeader) != "")
-	if answersOtherRequest(service, inbound, response, shed) {
+	if answersOtherRequest(service, inbound, response, shed && !ticket.Reused()) {
 		return a.newRefusal(flow.ReasonAnswerForeign, stepRespond, "the answer echoes another request id")
 	}
 	if shed {
+		if service.RequestIDHeader == "" {
+			ticket.CloseConnection() // a copy of this refusal would be taken for that of the next request
+		}
 		return a.newRefusal(flow.ReasonServerShed, stepSend, "the backend server turned the request away")
 	}
 	return nil
 }
 
 // answersOtherRequest reports whether the request id that a response echoes is not
-// that of the request. A response that sheds load may lack the id, since the part
-// of the backend server that sends it may not have read the request.
-func answersOtherRequest(service *flow.Service, inbound *inboundRequest, response *http.Response, shed bool) bool {
+// that of the request, alone. It may be missing if the part of the backend server that
+// sheds load may not have read the request.
+func answersOtherRequest(service *flow.Service, inbound *inboundRequest, response *http.Response, mayLackID bool) bool {
 	if service.RequestIDHeader == "" {
 		return false
 	}
-	echoed := response.Header.Get(service.RequestIDHeader)
-	if echoed == "" && shed {
+	echoed := response.Header.Values(service.RequestIDHeader)
+	if len(echoed) == 0 && mayLackID {
 		return false
 	}
 	id, _, _ := strings.Cut(inbound.permit.Attempt, "/")
-	return echoed != id
+	return !slices.Equal(echoed, []string{id})
 }
 
 // writeResponse writes the backend server's response and finishes the ticket with
--- a/internal/request/receiver/responses_test.go
+++ b/internal/request/receiver/responses_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -216,6 +217,62 @@
 	}
 }
 
+// TestRepeatedRefusalIsNotTakenForAnother has a backend server write the refusal of one
+// request again on the kept connection, where the response to the next one is due. That
+// request runs, so that its caller must not be told that it has not.
+func TestRepeatedRefusalIsNotTakenForAnother(t *testing.T) {
+	idLine := flow.HeaderRequestID + ": %s\r\n"
+	cases := map[string]struct {
+		refusal   string // %s is the id of the first request, SECOND that of the second one
+		withoutID bool   // the service has no header for request ids
+	}{
+		"with the id of the first request":         {refusal: shedHead + idLine},
+		"without an id":                            {refusal: shedHead},
+		"with an empty id":                         {refusal: shedHead + flow.HeaderRequestID + ": \r\n"},
+		"with the ids of the first and the second": {refusal: shedHead + idLine + flow.HeaderRequestID + ": SECOND\r\n"},
+		"with the ids of the second and the first": {refusal: shedHead + flow.HeaderRequestID + ": SECOND\r\n" + idLine},
+		"of a service without request ids":         {refusal: shedHead, withoutID: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 1)
+			if tc.withoutID {
+				c.putRecords(&flow.Service{Name: "ledger", RetryBudget: 1, ShedStatus: 503, ShedHeader: "X-Shed"})
+				c.applyIndex()
+			}
+			var mu sync.Mutex
+			var firstConn net.Conn
+			firstID, number := "", 0
+			c.respondWith(func(conn net.Conn, r *http.Request) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				number++
+				id := r.Header.Get(flow.HeaderRequestID)
+				if number == 1 {
+					firstConn, firstID = conn, id
+					_, err := io.WriteString(conn, strings.ReplaceAll(tc.refusal, "%s", id)+"\r\n")
+					return err == nil
+				}
+				if number == 2 && conn == firstConn {
+					again := strings.NewReplacer("%s", firstID, "SECOND", id).Replace(tc.refusal)
+					_, _ = io.WriteString(conn, again+"\r\n")
+				}
+				return respondCompletely(conn, r)
+			})
+			c.send(t, http.MethodPost, "/ledger/first", "a swap", withAPIKey())
+			second := c.send(t, http.MethodPost, "/ledger/second", "a swap", withAPIKey())
+			is.NoErr(second.err)
+			is.Equal(len(c.requests()), 2)                // it ran
+			is.True(second.outcome != flow.OutcomeNotRun) // and is not reported as not run
+			third := c.send(t, http.MethodPost, "/ledger/third", "a swap", withAPIKey())
+			is.NoErr(third.err)
+			is.Equal(third.status, http.StatusOK) // on a new connection
+		})
+	}
+}
+
 // TestSurplusResponseIsNotUsed has a backend server write two responses to one
 // request on a connection that is reused: the second must not become the
 // response to the next request.
