A request that was not sent is not answered by an earlier response

Cause: a surplus response closes its connection, but the transport may have given that connection to the next request already, and holds a second surplus response in its buffer. It returns that one before the request's write fails. Whether any byte was sent was asked only when there was no response.

Change: it is asked for a response with another id too. An unsent request is sent once more on a new connection. The daemon with its own interface now does this also where it had no response; it refused such a request as cancelled.

Why it works: a sealed connection lets no byte through, so a request of which none had been written has certainly not run.

--- a/internal/process/sender/sender.go
+++ b/internal/process/sender/sender.go
@@ -82,8 +82,8 @@
 type Ticket struct {
 	sender  *Sender
 	id      uint64
-	attempt sealer.Attempt
-	sent    bool // the server may have received a byte of the request
+	attempt *sealer.Attempt // the latest one
+	sent    bool            // the server may have received a byte of the request
 }
 
 // Admit waits until the gate admits the request. The error is a *flow.Refusal, which
--- a/internal/process/sender/transport.go
+++ b/internal/process/sender/transport.go
@@ -41,9 +41,10 @@
 // Send sends an admitted request and returns the response with its body unread. Once a
 // connection is available, guard is called; if it returns false, nothing is sent. On an
 // error of step "send" with the server as peer, sent reports whether the server may have
-// received any byte of the request. If sent is false, the request did not run.
+// received any byte of the request. If sent is false, the request did not run, and may be
+// sent again.
 func (t *Ticket) Send(request *http.Request, guard func() bool) (response *http.Response, sent bool, err error) {
-	t.attempt.Guard = guard
+	t.attempt = &sealer.Attempt{Guard: guard}
 	request = request.WithContext(t.attempt.Trace(request.Context()))
 	response, err = t.sender.transport.RoundTrip(request)
 	if err != nil {
@@ -60,8 +61,12 @@
 // Reused reports whether the connection of the request had carried another one before.
 func (t *Ticket) Reused() bool { return t.attempt.Reused() }
 
-// CloseConnection closes the connection of the response, so that it is not reused.
-func (t *Ticket) CloseConnection() { t.attempt.Seal() }
+// CloseConnection closes the connection of the response, so that it is not reused. It
+// reports whether the server may have received any byte of the request.
+func (t *Ticket) CloseConnection() (sent bool) {
+	t.sent = !t.attempt.Seal()
+	return t.sent
+}
 
 // dial opens a connection once the gate allows one.
 func (s *Sender) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/request/acceptor/send.go
+++ b/internal/request/acceptor/send.go
@@ -27,35 +27,53 @@
 // send sends an admitted request to its backend server and reads the response. If
 // it returns a refusal, it has finished the ticket.
 func (a *Acceptor) send(ctx context.Context, inbound *inboundRequest, ticket *sender.Ticket) (*responder.Response, *flow.Refusal) {
+	sentAt := a.Clock.Now()
+	response, failed := a.exchange(ctx, inbound, ticket)
+	if failed != nil && failed.unsent && ctx.Err() == nil {
+		// The pooled connection was closed, by the server or because of an earlier response.
+		response, failed = a.exchange(ctx, inbound, ticket)
+	}
+	if failed != nil {
+		ticket.Finish(failed.verdict, a.Clock.Now().Sub(sentAt))
+		return nil, failed.refusal
+	}
+	inbound.started = sentAt
+	return response, nil
+}
+
+// failure is the result of an exchange without a response for the ingress.
+type failure struct {
+	verdict flow.Verdict
+	refusal *flow.Refusal
+	unsent  bool // a connection was lost before any byte was sent on it
+}
+
+// exchange sends a request to its backend server once and reads the response.
+func (a *Acceptor) exchange(ctx context.Context, inbound *inboundRequest, ticket *sender.Ticket) (*responder.Response, *failure) {
 	request, err := a.newRequest(ctx, inbound)
 	if err != nil {
-		ticket.Finish(flow.VerdictCancelled, 0)
-		return nil, a.newRefusal(flow.ReasonRequestMalformed, stepSend, err.Error())
+		return nil, &failure{verdict: flow.VerdictCancelled, refusal: a.newRefusal(flow.ReasonRequestMalformed, stepSend, err.Error())}
 	}
-	sentAt := a.Clock.Now()
 	var refused *flow.Refusal
 	response, sent, err := ticket.Send(request, func() bool {
 		refused = a.recheckBeforeSend(inbound)
 		return refused == nil
 	})
 	if err != nil && !sent && refused != nil {
-		ticket.Finish(flow.VerdictCancelled, 0)
-		return nil, refused
+		return nil, &failure{verdict: flow.VerdictCancelled, refusal: refused}
 	}
 	if err != nil {
-		verdict, reason := a.classifyError(ctx, sent, err)
-		ticket.Finish(verdict, a.Clock.Now().Sub(sentAt))
-		return nil, a.newRefusal(reason, stepSend, err.Error())
+		return nil, a.newFailure(ctx, sent, err)
 	}
 	if refusal := a.checkResponse(inbound, ticket, response); refusal != nil {
 		_ = response.Body.Close()
-		verdict := flow.VerdictShed
-		if refusal.Reason != flow.ReasonServerShed {
-			verdict = flow.VerdictFailed
-			ticket.CloseConnection() // the right response may follow on it
+		if refusal.Reason == flow.ReasonServerShed {
+			return nil, &failure{verdict: flow.VerdictShed, refusal: refusal}
+		}
+		if sent := ticket.CloseConnection(); !sent { // else the right response might follow on it
+			return nil, a.newFailure(ctx, sent, errors.New(refusal.Detail))
 		}
-		ticket.Finish(verdict, a.Clock.Now().Sub(sentAt))
-		return nil, refusal
+		return nil, &failure{verdict: flow.VerdictFailed, refusal: refusal}
 	}
 	buffered, err := responder.ReadResponse(response, a.ResponseBuffer)
 	if err != nil {
@@ -63,13 +81,18 @@
 		if ctx.Err() != nil {
 			verdict, reason = a.classifyContextEnd(ctx)
 		}
-		ticket.Finish(verdict, a.Clock.Now().Sub(sentAt))
-		return nil, a.newRefusal(reason, stepRespond, err.Error())
+		return nil, &failure{verdict: verdict, refusal: a.newRefusal(reason, stepRespond, err.Error())}
 	}
-	inbound.started = sentAt
 	return buffered, nil
 }
 
+// newFailure returns the failure of a request without a response. sent reports
+// whether the server may have received any byte of it.
+func (a *Acceptor) newFailure(ctx context.Context, sent bool, err error) *failure {
+	verdict, reason := a.classifyError(ctx, sent, err)
+	return &failure{verdict: verdict, refusal: a.newRefusal(reason, stepSend, err.Error()), unsent: !sent && reason != flow.ReasonUnreachable}
+}
+
 // newRequest returns the request to the backend server.
 func (a *Acceptor) newRequest(ctx context.Context, inbound *inboundRequest) (*http.Request, error) {
 	header := maps.Clone(inbound.request.Header)
--- a/internal/request/executor/send.go
+++ b/internal/request/executor/send.go
@@ -53,8 +53,8 @@
 func bytesReader(content []byte) io.Reader { return bytes.NewReader(content) }
 
 // send runs a request on the backend server. It sends the request once more if
-// no byte of it was written because the server had closed the pooled
-// connection.
+// no byte of it was written because the pooled connection had been closed, by the
+// server or after a response to another request.
 func (e *Executor) send(ctx context.Context, s *slot, incoming *transporter.Request, left time.Duration) (*responder.Response, outcome) {
 	ctx, expiry := expirer.New(ctx, left+responseGrace)
 	for mayRepeat := true; ; mayRepeat = false {
@@ -65,16 +65,24 @@
 			return nil, e.failedOutcome(flow.VerdictCancelled, flow.ReasonRequestMalformed, err)
 		}
 		response, err := e.transport.RoundTrip(request)
-		if err != nil {
-			unsent := trace.Seal()
-			if unsent && mayRepeat && trace.Connected() && ctx.Err() == nil {
-				continue
-			}
-			out := e.outcomeWithoutResponse(ctx, unsent, err)
-			expiry.Cancel()
-			return nil, out
+		isForeign := err == nil && e.isForeign(s, response, trace.Reused())
+		if err == nil && !isForeign {
+			return e.collect(ctx, expiry, s, trace.Reused(), response)
+		}
+		unsent := trace.Seal() // the response to this request may follow on the connection
+		if isForeign {
+			err = fmt.Errorf("the answer echoes request %q", response.Header[e.Names.RequestID])
+			_ = response.Body.Close()
+		}
+		if unsent && mayRepeat && trace.Connected() && ctx.Err() == nil {
+			continue
 		}
-		return e.collect(ctx, expiry, s, trace, response)
+		out := e.outcomeWithoutResponse(ctx, unsent, err)
+		if isForeign && !unsent {
+			out = e.failedOutcome(flow.VerdictFailed, flow.ReasonAnswerForeign, err)
+		}
+		expiry.Cancel()
+		return nil, out
 	}
 }
 
@@ -127,22 +135,23 @@
 	return e.failedOutcome(flow.VerdictFailed, reason, cause)
 }
 
-// collect checks and collects a response. It must echo the request's id, and a
-// successful one must not be encoded and must carry the server's seal.
-func (e *Executor) collect(ctx context.Context, expiry *expirer.Expiry, s *slot, trace *sealer.Attempt, response *http.Response) (*responder.Response, outcome) {
-	if refused, isNotRun := e.notRunOutcome(s, response, trace.Reused()); isNotRun {
+// isForeign reports whether a response may belong to another request.
+func (e *Executor) isForeign(s *slot, response *http.Response, reused bool) bool {
+	if _, isNotRun := e.notRunOutcome(s, response, reused); isNotRun {
+		return false
+	}
+	return !slices.Equal(response.Header[e.Names.RequestID], []string{s.offer.ID}) || response.StatusCode < http.StatusOK
+}
+
+// collect checks and collects the response to a request. A successful one must not
+// be encoded and must carry the server's seal.
+func (e *Executor) collect(ctx context.Context, expiry *expirer.Expiry, s *slot, reused bool, response *http.Response) (*responder.Response, outcome) {
+	if refused, isNotRun := e.notRunOutcome(s, response, reused); isNotRun {
 		_, _ = io.CopyN(io.Discard, response.Body, responder.BufferLimit)
 		_ = response.Body.Close()
 		expiry.Cancel()
 		return nil, refused
 	}
-	echoed := response.Header[e.Names.RequestID]
-	if !slices.Equal(echoed, []string{s.offer.ID}) || response.StatusCode < http.StatusOK {
-		trace.Seal() // the response to this request may follow on the connection
-		expiry.Cancel()
-		_ = response.Body.Close()
-		return nil, e.failedOutcome(flow.VerdictFailed, flow.ReasonAnswerForeign, fmt.Errorf("the answer echoes request %q", echoed))
-	}
 	encoded := response.Header.Get("Content-Encoding") != ""
 	sealed := response.Header.Get(e.Names.Seal) != ""
 	if response.StatusCode < http.StatusMultipleChoices && (encoded || !sealed) {
