--- a/internal/process/follower/transfer_test.go
+++ b/internal/process/follower/transfer_test.go
@@ -155,3 +155,29 @@
 	defer reader.mu.Unlock()
 	is.True(reader.sourceLost)
 }
+
+// TestAnnouncementIsNoKnowledge checks that a host that has only announced a configuration
+// does not count as heard. Its answer brings neither the changes nor their proof, so a
+// daemon that was cut off would have acted as the owner of a resource on an old list.
+func TestAnnouncementIsNoKnowledge(t *testing.T) {
+	is := is.New(t)
+	hosts := []string{"127.0.46.1", "127.0.46.2"}
+	options := framer.Options{Self: framer.Identity{Host: hosts[0]}, Secret: []byte("sixteen characters"), MaxPayloadBytes: 1 << 20}
+	peer := New(Parts{Host: hosts[1], Zone: "a", Clock: flow.NewMonotonicClock(), Log: logr.Discard()})
+	peer.apply(t.Context(), "test", knownHosts(hosts), 0)
+	peer.apply(t.Context(), "test", flow.Update{Revision: 2, Changes: []flow.Change{{Key: "c", Revision: 2, Configuration: manyRoutes()}}}, 0)
+	socket, err := net.Listen("tcp", net.JoinHostPort(hosts[1], "0"))
+	is.NoErr(err)
+	_, port, _ := net.SplitHostPort(socket.Addr().String())
+	go func() {
+		_ = (&listener.Listener{Options: options, Endpoints: peer.Endpoints(), Log: logr.Discard()}).Serve(t.Context(), socket)
+	}()
+	one := New(Parts{Host: hosts[0], Zone: "a", PeerPort: port, Dialer: dialer.New(options, nil), Clock: flow.NewMonotonicClock(), Log: logr.Discard()})
+	one.apply(t.Context(), "test", knownHosts(hosts), 0)
+	for _, large := range []bool{false, true} {
+		answer, err := one.call(t.Context(), hosts[1], FetchRequest{After: 1, Large: large}, configurationBound)
+		is.NoErr(err)
+		is.Equal(answer.Large, !large)
+		is.Equal(one.hearsMost(one.Clock.Now()), large)
+	}
+}
