A refusal without an id on a kept connection counts again, once

Here a part of a server may refuse before it reads the request.

Change: it counts if every earlier response on the connection was certainly that to its own request, and closes the connection. That also holds for services without request-id-header, whose refusals closed the connection already.

Why it works: only an earlier refusal without an id can come again as that of another request, and after one no request uses the connection; the count of attributed responses covers a request that got the connection before it closed.

--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -29,6 +29,8 @@
 
 	mu            sync.Mutex
 	written       int64 // bytes
+	attempts      int   // that have obtained the connection
+	attributed    int   // attempts whose response was recorded as their own
 	sealed        bool
 	closedByPeer  bool // the peer closed or reset the connection
 	closeExpected bool // the peer announced that it would close the connection
@@ -105,6 +107,13 @@
 	return c.written
 }
 
+func (c *Conn) addAttempt() (written int64, earlier int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts++
+	return c.written, c.attempts - 1
+}
+
 // Attempt tracks one attempt of an HTTP request over the connections that the transport
 // obtains for it. It is safe for concurrent use.
 type Attempt struct {
@@ -115,6 +124,7 @@
 	mu          sync.Mutex
 	conn        *Conn
 	startOffset int64 // bytes written to conn before the attempt
+	earlier     int   // attempts that had obtained conn before
 	maybeSent   bool  // bytes may have been written to another connection of the attempt
 	connected   bool
 	sealed      bool
@@ -146,7 +156,7 @@
 	}
 	a.connected = true
 	a.conn = conn
-	a.startOffset = conn.bytesWritten()
+	a.startOffset, a.earlier = conn.addAttempt()
 }
 
 // Seal ends the attempt, so that no more bytes of it are written. It reports whether
@@ -186,3 +196,28 @@
 	defer a.mu.Unlock()
 	return a.conn == nil || a.startOffset > 0
 }
+
+// RecordOwnResponse records that the response was certainly that to this attempt, and that
+// no copy of it can be taken for the response to another.
+func (a *Attempt) RecordOwnResponse() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.mu.Lock()
+		a.conn.attributed++
+		a.conn.mu.Unlock()
+	}
+}
+
+// AllEarlierAttributed reports whether every earlier attempt on the connection has a response
+// of its own recorded, so that none of these can come again as the response to this one.
+func (a *Attempt) AllEarlierAttributed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil {
+		return false
+	}
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	return a.conn.attributed >= a.earlier
+}
--- a/internal/process/sender/transport.go
+++ b/internal/process/sender/transport.go
@@ -58,8 +58,13 @@
 	return response, true, nil
 }
 
-// Reused reports whether the connection of the request had carried another one before.
-func (t *Ticket) Reused() bool { return t.attempt.Reused() }
+// RecordOwnResponse records that the response was certainly that to this request, and that
+// no copy of it can be taken for the response to another.
+func (t *Ticket) RecordOwnResponse() { t.attempt.RecordOwnResponse() }
+
+// AllEarlierAttributed reports whether no response to an earlier request on the connection
+// can have been taken for the response to this one.
+func (t *Ticket) AllEarlierAttributed() bool { return t.attempt.AllEarlierAttributed() }
 
 // CloseConnection closes the connection of the response, so that it is not reused. It
 // reports whether the server may have received any byte of the request.
--- a/internal/request/acceptor/send.go
+++ b/internal/request/acceptor/send.go
@@ -144,33 +144,22 @@
 		return nil
 	}
 	shed := service.ShedStatus == response.StatusCode && (service.ShedHeader == "" || response.Header.Get(service.ShedHeader) != "")
-	if answersOtherRequest(service, inbound, response, shed && !ticket.Reused()) {
+	echoed := response.Header.Values(service.RequestIDHeader)
+	if shed && len(echoed) == 0 && ticket.AllEarlierAttributed() {
+		ticket.CloseConnection() // a copy of this refusal could be taken for that of the next request
+		return a.newRefusal(flow.ReasonServerShed, stepSend, "the backend server turned the request away")
+	}
+	id, _, _ := strings.Cut(inbound.permit.Attempt, "/")
+	if service.RequestIDHeader != "" && !slices.Equal(echoed, []string{id}) || shed && len(echoed) == 0 {
 		return a.newRefusal(flow.ReasonAnswerForeign, stepRespond, "the answer echoes another request id")
 	}
+	ticket.RecordOwnResponse()
 	if shed {
-		if service.RequestIDHeader == "" {
-			ticket.CloseConnection() // a copy of this refusal would be taken for that of the next request
-		}
 		return a.newRefusal(flow.ReasonServerShed, stepSend, "the backend server turned the request away")
 	}
 	return nil
 }
 
-// answersOtherRequest reports whether the request id that a response echoes is not
-// that of the request, alone. It may be missing if the part of the backend server that
-// sheds load may not have read the request.
-func answersOtherRequest(service *flow.Service, inbound *inboundRequest, response *http.Response, mayLackID bool) bool {
-	if service.RequestIDHeader == "" {
-		return false
-	}
-	echoed := response.Header.Values(service.RequestIDHeader)
-	if len(echoed) == 0 && mayLackID {
-		return false
-	}
-	id, _, _ := strings.Cut(inbound.permit.Attempt, "/")
-	return !slices.Equal(echoed, []string{id})
-}
-
 // writeResponse writes the backend server's response and finishes the ticket with
 // its verdict: before the response is written if it was read whole, else after the
 // rest was streamed.
--- a/internal/request/receiver/responses_test.go
+++ b/internal/request/receiver/responses_test.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// respondRawAndKeep writes a response and keeps the connection open.
+func respondRawAndKeep(response string) responder {
+	return func(conn net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, response)
+		return err == nil
+	}
+}
+
 func resetConnection(conn net.Conn, _ *http.Request) bool {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	return false
@@ -273,6 +281,31 @@
 	}
 }
 
+// TestRefusalWithoutIDIsNotRunOnKeptConnection has a backend server turn requests away
+// without their ids, as a part of it may that does not read them, on connections that have
+// carried others. They did not run, and their callers must be told so.
+func TestRefusalWithoutIDIsNotRunOnKeptConnection(t *testing.T) {
+	for name, header := range map[string]string{"with request ids": flow.HeaderRequestID, "without request ids": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 1)
+			c.putRecords(&flow.Service{Name: "ledger", RetryBudget: 1, ShedStatus: 503, ShedHeader: "X-Shed", RequestIDHeader: header})
+			c.applyIndex()
+			for _, isShed := range []bool{false, false, true, true, false, true} {
+				c.respondWith(respondCompletely)
+				if isShed {
+					c.respondWith(respondRawAndKeep(shedHead + "\r\n"))
+				}
+				got := c.send(t, http.MethodPost, "/ledger/swaps", "a swap", withAPIKey())
+				is.NoErr(got.err)
+				is.Equal(got.status == http.StatusOK, !isShed)
+				is.Equal(got.outcome == flow.OutcomeNotRun, isShed)
+			}
+		})
+	}
+}
+
 // TestSurplusResponseIsNotUsed has a backend server write two responses to one
 // request on a connection that is reused: the second must not become the
 // response to the next request.
