A response that echoes its request's id twice is its own

Cause: the mend of the repeated refusal in the daemon with its own interface compared the whole list of echoed ids, so that a server behind a part that adds the id once more would have been refused as foreign.

Change: every echoed id must be that of the request.

--- a/internal/request/acceptor/send.go
+++ b/internal/request/acceptor/send.go
@@ -150,7 +150,8 @@
 		return a.newRefusal(flow.ReasonServerShed, stepSend, "the backend server turned the request away")
 	}
 	id, _, _ := strings.Cut(inbound.permit.Attempt, "/")
-	if service.RequestIDHeader != "" && !slices.Equal(echoed, []string{id}) || shed && len(echoed) == 0 {
+	isOwn := len(echoed) > 0 && !slices.ContainsFunc(echoed, func(one string) bool { return one != id })
+	if !isOwn && (shed || service.RequestIDHeader != "") {
 		return a.newRefusal(flow.ReasonAnswerForeign, stepRespond, "the answer echoes another request id")
 	}
 	ticket.RecordOwnResponse()
--- a/internal/request/receiver/responses_test.go
+++ b/internal/request/receiver/responses_test.go
@@ -77,6 +77,8 @@
 	"body without length or chunks":        {respond: respondRaw(responseHead, "Connection: close\r\n\r\nshort"), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerShort},
 	"response by HTTP 1.0":                 {respond: respondRaw("HTTP/1.0 200 OK\r\nColtsfootflow-Request-Id: ID\r\n\r\nshort"), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerShort},
 	"response to another request":          {respond: respondRaw("HTTP/1.1 200 OK\r\nColtsfootflow-Request-Id: another\r\nContent-Length: 2\r\n\r\nno"), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerForeign},
+	"response that echoes its id twice":    {respond: respondRaw(responseHead, "Coltsfootflow-Request-Id: ID\r\nContent-Length: 16\r\n\r\n", completeBody), outcome: flow.OutcomeAnswered},
+	"response that echoes two ids":         {respond: respondRaw(responseHead, "Coltsfootflow-Request-Id: another\r\nContent-Length: 16\r\n\r\n", completeBody), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerForeign},
 	"response without a request id":        {respond: respondRaw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), outcome: flow.OutcomeUnknown, reason: flow.ReasonAnswerForeign},
 	"two content lengths":                  {respond: respondRaw(responseHead, "Content-Length: 2\r\nContent-Length: 3\r\n\r\nno"), outcome: flow.OutcomeUnknown, reason: flow.ReasonServerFailed},
 	"not HTTP":                             {respond: respondRaw("nonsense\r\n\r\n"), outcome: flow.OutcomeUnknown, reason: flow.ReasonServerFailed},
