--- a/cmd/coltsfootflow/sidecar.go
+++ b/cmd/coltsfootflow/sidecar.go
@@ -75,7 +75,7 @@
 		Names:     platform.HeaderNames,
 		ReadyPath: platform.ReadyPath,
 		NewSource: func(address string, clock flow.Clock, log logr.Logger) flow.Source {
-			return platform.NewStore(address, clock, log)
+			return platform.NewStore(address, nil, clock, log)
 		},
 	}, log)
 	if err != nil {
--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -34,18 +34,21 @@
 
 // Dialer makes calls to other daemons. It is safe for concurrent use.
 type Dialer struct {
-	options      framer.Options
-	localAddress net.Addr
+	options   framer.Options
+	connector flow.Connector
 
 	mu     sync.Mutex
 	peers  map[string]*peer
 	closed bool
 }
 
-// New returns a Dialer that opens connections with the given options from the given
-// local address. If localAddress is nil, the operating system chooses one.
-func New(options framer.Options, localAddress net.Addr) *Dialer {
-	return &Dialer{options: options, localAddress: localAddress, peers: map[string]*peer{}}
+// New returns a Dialer with the given options for its connections, which the connector
+// opens. If that is nil, they are TCP connections from any local address.
+func New(options framer.Options, connector flow.Connector) *Dialer {
+	if connector == nil {
+		connector = &net.Dialer{}
+	}
+	return &Dialer{options: options, connector: connector, peers: map[string]*peer{}}
 }
 
 // Close closes all connections. Later calls fail.
@@ -99,7 +102,7 @@
 	}
 	p, ok := d.peers[address]
 	if !ok {
-		p = &peer{address: address, localAddress: d.localAddress, options: d.options}
+		p = &peer{address: address, connector: d.connector, options: d.options}
 		d.peers[address] = p
 	}
 	return p, nil
@@ -121,9 +124,9 @@
 
 // peer is the address of another daemon and the connection to it.
 type peer struct {
-	address      string
-	localAddress net.Addr
-	options      framer.Options
+	address   string
+	connector flow.Connector
+	options   framer.Options
 
 	mu       sync.Mutex
 	conn     *connection
@@ -198,8 +201,9 @@
 }
 
 func (p *peer) open() (*framer.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, LocalAddr: p.localAddress}
-	conn, err := d.Dial("tcp", p.address)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.connector.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/follower/outage_test.go
+++ b/internal/process/follower/outage_test.go
@@ -69,8 +69,8 @@
 			is.NoErr(err)
 			clock := flow.NewMonotonicClock()
 			one := follower.New(follower.Parts{
-				Host: host, Zone: zone, PeerPort: peerPort, Platform: platform.NewStore(f.storeLink[host].Addr(), clock, logr.Discard()),
-				Dialer: dialer.New(options, &net.TCPAddr{IP: net.ParseIP(host)}), Clock: clock, Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)), ApplyWithin: 2 * time.Second,
+				Host: host, Zone: zone, PeerPort: peerPort, Platform: platform.NewStore(f.storeLink[host].Addr(), nil, clock, logr.Discard()),
+				Dialer: dialer.New(options, &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}), Clock: clock, Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)), ApplyWithin: 2 * time.Second,
 			})
 			f.followers[host] = one
 			go func() {
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -147,7 +147,7 @@
 	metrics := reporter.NewMetrics(settings.Metrics.Customers)
 	peerClocks := timekeeper.New()
 	permitSigner := permitter.New([]byte(settings.Secret))
-	d.dialer = dialer.New(options, localAddress(settings.Addresses.Peer))
+	d.dialer = dialer.New(options, &net.Dialer{LocalAddr: localAddress(settings.Addresses.Peer)})
 	d.controller = controller.New(controller.Parts{
 		Settings:    settings,
 		Incarnation: incarnation,
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -123,6 +124,12 @@
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Update, error)
 }
 
+// Connector opens connections. A net.Dialer is one.
+type Connector interface {
+	// DialContext opens a connection to an address on a network, as net.Dialer does.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // HeaderNames are the names of the HTTP headers that callers and backend servers
 // use, in canonical form.
 type HeaderNames struct {
