Log each wait for a source that ended in nothing, and changes of the source

Failed reads were logged on the debug level only and without their length, pauses and changes of the source not at all, and a call that ran into its time limit said "context canceled".

Change: at the default level, each line with revision, version and proof age: the failed read with how long it took and when the next follows, the pause in which nothing is read, the peer that did not answer with how long it was waited for, and the source. No decision changes.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -83,7 +83,8 @@
 // Follower maintains the catalog of a daemon.
 type Follower struct {
 	Parts
-	catalog atomic.Pointer[cataloger.Catalog]
+	catalog      atomic.Pointer[cataloger.Catalog]
+	loggedSource string // used only by the goroutine of Run
 
 	mu          sync.Mutex
 	state       *replicator.State
@@ -136,6 +137,7 @@
 func (f *Follower) readNext(ctx context.Context, selector *sourceSelector) {
 	defer recoverer.Recover(f.Log, "follow", func() { flow.Sleep(ctx, startReadInterval) })
 	peer := selector.nextSource(f.Clock.Now(), f.hosts(true), f.hosts(false))
+	f.logSource(selector, peer)
 	if peer == "" {
 		f.readPlatform(ctx, selector)
 		return
@@ -143,6 +145,31 @@
 	f.readPeer(ctx, selector, peer)
 }
 
+// logSource logs which source is read from now on, if that has changed.
+func (f *Follower) logSource(selector *sourceSelector, peer string) {
+	source := peer
+	switch {
+	case selector.fallingBack:
+		source = sourceOthers
+	case peer == "":
+		source = sourcePlatform
+	}
+	if source == f.loggedSource {
+		return
+	}
+	f.knowledgeLog().Info("source changed", "source", source, "source-before", f.loggedSource)
+	f.loggedSource = source
+}
+
+// knowledgeLog returns the log with what the daemon knows.
+func (f *Follower) knowledgeLog() logr.Logger {
+	catalog := f.Catalog()
+	return f.Log.WithValues("revision", catalog.Revision, "version", catalog.Version, "age-ms", f.Age().Milliseconds())
+}
+
+// sinceMs returns the milliseconds since a time.
+func (f *Follower) sinceMs(t flow.Time) int64 { return f.Clock.Now().Sub(t).Milliseconds() }
+
 // NotePeer takes the IP address of a daemon that connected. A daemon that starts
 // during an outage of the platform knows no other daemon to fetch from.
 func (f *Follower) NotePeer(host string) {
@@ -173,21 +200,26 @@
 }
 
 func (f *Follower) readPlatform(ctx context.Context, selector *sourceSelector) {
-	if !flow.Sleep(ctx, selector.platformDelay(f.Clock.Now())) {
-		return
+	if pause := selector.platformDelay(f.Clock.Now()); pause > 0 {
+		f.knowledgeLog().Info("no source can be read for a while", "pause-ms", pause.Milliseconds())
+		if !flow.Sleep(ctx, pause) {
+			return
+		}
 	}
+	sentAt := f.Clock.Now()
 	update, err := f.Platform.Watch(ctx, f.revision(), f.platformWait())
 	if err != nil {
+		selector.markPlatformFailed(f.Clock.Now(), f.Random.Float64())
 		if ctx.Err() == nil {
-			f.Log.V(1).Info("the platform could not be read", "cause", err.Error(), "age-ms", f.Age().Milliseconds())
+			f.knowledgeLog().Info("the platform could not be read", "cause", err.Error(), "waited-ms", f.sinceMs(sentAt),
+				"retry-ms", selector.platformDelay(f.Clock.Now()).Milliseconds())
 		}
-		selector.markPlatformFailed(f.Clock.Now(), f.Random.Float64())
 		f.setSourceLost(true)
 		return
 	}
 	selector.markPlatformAnswered()
 	f.setSourceLost(false)
-	f.apply(ctx, "platform", update, platformCoalesceDelay)
+	f.apply(ctx, sourcePlatform, update, platformCoalesceDelay)
 	if f.presumesOutage() {
 		f.inquire(ctx)
 	}
@@ -225,7 +257,7 @@
 		return
 	}
 	if err != nil {
-		f.markPeerSilent(ctx, selector, peer, err)
+		f.markPeerSilent(ctx, selector, peer, sentAt, err)
 		return
 	}
 	update := answer.Update
@@ -256,17 +288,18 @@
 		}
 		finished <- result{answer.Update, err}
 	})
+	sentAt := f.Clock.Now()
 	patience := time.NewTimer(transferPatience)
 	defer patience.Stop()
 	select {
 	case r := <-finished:
 		if r.err != nil {
-			f.markPeerSilent(ctx, selector, peer, r.err)
+			f.markPeerSilent(ctx, selector, peer, sentAt, r.err)
 			return
 		}
 		f.markPeerAnswered(selector, peer, r.update)
 	case <-patience.C:
-		f.markPeerSilent(ctx, selector, peer, errSlowTransfer)
+		f.markPeerSilent(ctx, selector, peer, sentAt, errSlowTransfer)
 	}
 }
 
@@ -274,9 +307,9 @@
 // configuration.
 var errSlowTransfer = errors.New("the transfer of the configuration takes long and goes on in the background")
 
-func (f *Follower) markPeerSilent(ctx context.Context, selector *sourceSelector, peer string, cause error) {
+func (f *Follower) markPeerSilent(ctx context.Context, selector *sourceSelector, peer string, sentAt flow.Time, cause error) {
 	if ctx.Err() == nil {
-		f.Log.Info("peer did not answer the fetch", "step", "fetch", "peer", peer, "cause", cause.Error(), "age-ms", f.Age().Milliseconds())
+		f.knowledgeLog().Info("peer did not answer the fetch", "step", "fetch", "peer", peer, "cause", cause.Error(), "waited-ms", f.sinceMs(sentAt))
 	}
 	selector.markSilent(f.Clock.Now(), peer)
 }
--- a/internal/process/follower/source.go
+++ b/internal/process/follower/source.go
@@ -27,6 +27,12 @@
 	maxSilentInRow = 2
 )
 
+// Names of sources in the log, apart from the IP addresses of hosts.
+const (
+	sourcePlatform = "platform"
+	sourceOthers   = "others" // one host after the other, while the platform does not answer
+)
+
 // readerResource is the resource for which hosts are ranked as readers of the
 // platform.
 const readerResource = "reader"
