--- /dev/null
+++ b/internal/process/follower/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package follower_test
+
+const raceDetector = false
