The store is read beside the peers: a call that hangs holds nothing up

Cause: one loop read one source at a time. A call to the store that was sent before its return is never answered; its time limit had grown to 3.5 s, since a store may be slow, and until then the daemon asked nobody, though others had the change after 0.5 s.

Change: the store and the peers are read side by side. A call to the store that is late goes on, up to 3 s beyond its wait, and is joined by another one on another connection; it never holds up a peer's answer. Two hosts of a zone read the store, the first and the next one to tell whether the first alone has lost it; the others follow them also while both have lost it, and are answered as soon as there is news. The first reader of a zone waits for news of each other zone as well, and reads the store at once when another daemon has heard it. A configuration that an inquiry finds announced, and that does not come from the daemon's own source within 0.7 s, is transferred. The time limit of a call no longer grows with failures.

Why it works: whatever a daemon waits for, news reach it from the first host that has them, over one hop in its zone and one between zones; and the first host has them as soon as any call of eight (four zones) is sent after the return, each at most 2.85 s apart.

Tests that changed: the cases of TestNextSource are kept as to who is followed and who reads, and say what a lost host does beside it; a host that has lost the store follows the next host of its zone instead of one in turn. The bound on calls to a failed platform holds for a second reader, and for all hosts that rank below together.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -21,48 +21,14 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
-	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/replicator"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
-const (
-	// minPlatformWait and maxPlatformWait bound how long one watch of the platform
-	// waits, which is a quarter of Parts.ApplyWithin. A connection that has gone silent
-	// is detected after it, and each watch costs a call.
-	minPlatformWait = 500 * time.Millisecond
-	maxPlatformWait = time.Second
-	// peerWatchWait is how long one watch of a peer waits.
-	peerWatchWait = 400 * time.Millisecond
-	// peerAnswerMargin is how long a peer's answer may take beyond the wait.
-	peerAnswerMargin = 200 * time.Millisecond
-	// configurationTimeout bounds the transfer of a configuration, which takes long
-	// on a slow link.
-	configurationTimeout = 3 * time.Second
-	// transferPatience is how long a transfer may take before another source is asked
-	// as well. The peer may have fallen silent, and the time until a configuration
-	// must be in force is shorter than configurationTimeout.
-	transferPatience = 700 * time.Millisecond
-	// coalesceDelay is the pause after changes, so that those of a burst arrive in
-	// one update.
-	coalesceDelay = 60 * time.Millisecond
-	// platformCoalesceDelay is that pause at the daemon that reads the platform. Its
-	// calls are not free, and in a release of hundreds of servers each of them would
-	// bring one entry.
-	platformCoalesceDelay = 120 * time.Millisecond
-	// startReadInterval is the pause between reads of the platform while no host of
-	// the daemon's zone is listed. When a deployment starts, its hosts are listed within
-	// some seconds, the first ones of a zone within about one, and until then every
-	// daemon reads the platform.
-	startReadInterval = 600 * time.Millisecond
-	// firstStartDelay is the pause before the first read when the whole deployment
-	// starts for the first time: no host is listed yet.
-	firstStartDelay = 1200 * time.Millisecond
-	// expireInterval is the time between two checks for lapsed entries whose grace
-	// time is over.
-	expireInterval = 250 * time.Millisecond
-)
+// expireInterval is the time between two checks for lapsed entries whose grace time is
+// over.
+const expireInterval = 250 * time.Millisecond
 
 // Parts are the dependencies and settings of a Follower.
 type Parts struct {
@@ -73,7 +39,7 @@
 	Dialer   *dialer.Dialer
 	Clock    flow.Clock
 	Log      logr.Logger
-	Random   *rand.Rand // used only by the goroutine of Run
+	Random   *rand.Rand // used only by the goroutine that reads the platform
 	// ApplyWithin is the time within which a change must be in force everywhere.
 	ApplyWithin time.Duration
 	FirstStart  bool // the whole deployment starts for the first time
@@ -83,26 +49,45 @@
 // Follower maintains the catalog of a daemon.
 type Follower struct {
 	Parts
-	catalog      atomic.Pointer[cataloger.Catalog]
-	loggedSource string // used only by the goroutine of Run
-
-	mu          sync.Mutex
-	state       *replicator.State
-	changed     chan struct{}        // closed and replaced to wake waiting fetches
-	recentPeer  string               // IP address of a daemon that connected recently
-	touchWanted flow.Time            // when InTouch was last called
-	heardFrom   map[string]flow.Time // by zone: when a request was sent that a host of the zone answered
-	inquired    map[string]int       // by zone: index of the host that is asked
-	lastOutage  time.Duration        // length of the newest presumed outage of the store; 0 if there was none
-	sourceLost  bool                 // the platform could not be read, and neither it nor a host that ranks before this one has answered since
+	catalog       atomic.Pointer[cataloger.Catalog]
+	platformHeard chan struct{} // wakes the reader of the platform when others have heard it
+	loggedSource  string        // used only by the goroutine that asks peers
+
+	mu            sync.Mutex
+	state         *replicator.State
+	changed       chan struct{}        // closed and replaced to wake waiting fetches
+	recentPeer    string               // IP address of a daemon that connected recently
+	touchWanted   flow.Time            // when InTouch was last called
+	heardFrom     map[string]flow.Time // by zone: when a request was sent that a host of the zone answered
+	inquired      map[string]int       // by zone: index of the host that is asked
+	asking        map[string]bool      // by zone: news of one of its hosts are awaited
+	announcedAt   flow.Time            // when a configuration was first announced that has not come yet; Never if there is none
+	lastOutage    time.Duration        // length of the newest presumed outage of the store; 0 if there was none
+	turn          bool                 // this daemon reads the platform
+	rank          int                  // number of hosts that are not silent and read it before this one
+	turnChanged   chan struct{}        // closed and replaced when turn or rank changes
+	reading       reading
+	readingChange chan struct{} // closed and replaced when reading changes
 
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
-	transfers  sync.WaitGroup // transfers of configurations in progress
+	background sync.WaitGroup // calls in progress
 }
 
 // New returns a Follower with an empty catalog.
 func New(parts Parts) *Follower {
-	f := &Follower{Parts: parts, state: replicator.New(), changed: make(chan struct{}), touchWanted: flow.Never, heardFrom: map[string]flow.Time{}, inquired: map[string]int{}}
+	f := &Follower{
+		Parts:         parts,
+		platformHeard: make(chan struct{}, 1),
+		state:         replicator.New(),
+		changed:       make(chan struct{}),
+		touchWanted:   flow.Never,
+		heardFrom:     map[string]flow.Time{},
+		inquired:      map[string]int{},
+		asking:        map[string]bool{},
+		announcedAt:   flow.Never,
+		turnChanged:   make(chan struct{}),
+		readingChange: make(chan struct{}),
+	}
 	f.catalog.Store(cataloger.Build(0, nil, nil, nil))
 	return f
 }
@@ -117,41 +102,82 @@
 	return f.state.Age(f.Clock.Now())
 }
 
+// provenAt returns when the platform was last known to prove the catalog current.
+func (f *Follower) provenAt() flow.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	return now.Add(-f.state.Age(now))
+}
+
 // Run keeps the catalog up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	defer f.transfers.Wait()
-	var background sync.WaitGroup
-	background.Go(func() { f.expireLapsed(ctx) })
-	background.Go(func() { f.keepInTouch(ctx) })
-	defer background.Wait() // it starts transfers
-	selector := newSourceSelector(f.Host)
-	if f.FirstStart {
-		flow.Sleep(ctx, firstStartDelay)
-	}
-	for ctx.Err() == nil {
-		f.readNext(ctx, selector)
-	}
+	var loops sync.WaitGroup
+	loops.Go(func() { f.readPlatform(ctx) })
+	loops.Go(func() { f.expireLapsed(ctx) })
+	loops.Go(func() { f.keepInTouch(ctx) })
+	loops.Go(func() { f.readOtherZones(ctx) })
+	f.askPeers(ctx)
+	loops.Wait()
+	f.background.Wait()
+}
+
+// currentTurn returns whether this daemon reads the platform, its rank among the hosts of
+// its zone that may, and a channel that is closed when that changes.
+func (f *Follower) currentTurn() (turn bool, rank int, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.turn, f.rank, f.turnChanged
 }
 
-// readNext reads the next source once.
-func (f *Follower) readNext(ctx context.Context, selector *sourceSelector) {
-	defer recoverer.Recover(f.Log, "follow", func() { flow.Sleep(ctx, startReadInterval) })
-	peer := selector.nextSource(f.Clock.Now(), f.hosts(true), f.hosts(false))
-	f.logSource(selector, peer)
-	if peer == "" {
-		f.readPlatform(ctx, selector)
+func (f *Follower) setTurn(turn bool, rank int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if turn == f.turn && rank == f.rank {
 		return
 	}
-	f.readPeer(ctx, selector, peer)
+	f.turn, f.rank = turn, rank
+	close(f.turnChanged)
+	f.turnChanged = make(chan struct{})
+}
+
+// currentReading returns how the platform answers this daemon, and a channel that is closed
+// when that changes or when a peer is first known.
+func (f *Follower) currentReading() (reading, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading, f.readingChange
+}
+
+// setReading reports whether there was a change. Followers are woken if the source of this
+// daemon is lost, or no longer lost.
+func (f *Follower) setReading(state reading) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state == f.reading {
+		return false
+	}
+	if state == readingLost || f.reading == readingLost {
+		f.wakeWaiters()
+	}
+	f.reading = state
+	f.wakeAsker()
+	return true
+}
+
+// wakeAsker wakes the goroutine that asks peers. The caller must hold the lock.
+func (f *Follower) wakeAsker() {
+	close(f.readingChange)
+	f.readingChange = make(chan struct{})
 }
 
 // logSource logs which source is read from now on, if that has changed.
-func (f *Follower) logSource(selector *sourceSelector, peer string) {
-	source := peer
+func (f *Follower) logSource(c choice) {
+	source := c.peer
 	switch {
-	case selector.fallingBack:
+	case c.waiting:
 		source = sourceOthers
-	case peer == "":
+	case c.peer == "":
 		source = sourcePlatform
 	}
 	if source == f.loggedSource {
@@ -175,6 +201,9 @@
 func (f *Follower) NotePeer(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.recentPeer == "" {
+		f.wakeAsker()
+	}
 	f.recentPeer = host
 }
 
@@ -199,159 +228,6 @@
 	return hosts
 }
 
-func (f *Follower) readPlatform(ctx context.Context, selector *sourceSelector) {
-	if pause := selector.platformDelay(f.Clock.Now()); pause > 0 {
-		f.knowledgeLog().Info("no source can be read for a while", "pause-ms", pause.Milliseconds())
-		if !flow.Sleep(ctx, pause) {
-			return
-		}
-	}
-	sentAt := f.Clock.Now()
-	update, err := f.Platform.Watch(ctx, f.revision(), f.platformWait())
-	if err != nil {
-		selector.markPlatformFailed(f.Clock.Now(), f.Random.Float64())
-		if ctx.Err() == nil {
-			f.knowledgeLog().Info("the platform could not be read", "cause", err.Error(), "waited-ms", f.sinceMs(sentAt),
-				"retry-ms", selector.platformDelay(f.Clock.Now()).Milliseconds())
-		}
-		f.setSourceLost(true)
-		return
-	}
-	selector.markPlatformAnswered()
-	f.setSourceLost(false)
-	f.apply(ctx, sourcePlatform, update, platformCoalesceDelay)
-	if f.presumesOutage() {
-		f.inquire(ctx)
-	}
-	if len(f.hosts(true)) == 0 {
-		flow.Sleep(ctx, startReadInterval)
-	}
-}
-
-// platformWait returns how long one watch of the platform waits.
-func (f *Follower) platformWait() time.Duration {
-	return min(max(f.ApplyWithin/4, minPlatformWait), maxPlatformWait)
-}
-
-// FetchRequest asks a peer for the changes since a revision.
-type FetchRequest struct {
-	After  flow.Revision `msgpack:"a"`
-	WaitMs int64         `msgpack:"w"`
-	Large  bool          `msgpack:"l,omitempty"` // send configurations too
-}
-
-// FetchAnswer is the answer to a FetchRequest. A configuration is announced first
-// and sent on request, so that a peer that is busy sending can be told from a silent
-// one.
-type FetchAnswer struct {
-	Update flow.Update `msgpack:"u"`
-	Large  bool        `msgpack:"l,omitempty"` // there is a configuration, which must be requested
-}
-
-func (f *Follower) readPeer(ctx context.Context, selector *sourceSelector, peer string) {
-	sentAt := f.Clock.Now()
-	request := FetchRequest{After: f.revision(), WaitMs: peerWatchWait.Milliseconds()}
-	answer, err := f.call(ctx, peer, request, peerWatchWait+peerAnswerMargin)
-	if err == nil && answer.Large {
-		f.readConfiguration(ctx, selector, peer, request)
-		return
-	}
-	if err != nil {
-		f.markPeerSilent(ctx, selector, peer, sentAt, err)
-		return
-	}
-	update := answer.Update
-	f.markPeerAnswered(selector, peer, update)
-	update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
-	f.apply(ctx, peer, update, coalesceDelay)
-	if f.Clock.Now().Sub(sentAt) < coalesceDelay {
-		flow.Sleep(ctx, coalesceDelay) // a peer that answers at once has not waited for changes
-	}
-}
-
-// readConfiguration gets a configuration that a peer has announced. If the transfer
-// takes long, it goes on in the background, and the peer counts as silent.
-func (f *Follower) readConfiguration(ctx context.Context, selector *sourceSelector, peer string, request FetchRequest) {
-	request.Large = true
-	type result struct {
-		update flow.Update
-		err    error
-	}
-	finished := make(chan result, 1)
-	f.transfers.Go(func() {
-		defer recoverer.Recover(f.Log, "follow", func() { finished <- result{err: errors.New(recoverer.Cause)} })
-		sentAt := f.Clock.Now()
-		answer, err := f.call(ctx, peer, request, configurationTimeout)
-		if err == nil {
-			answer.Update.Age += f.Clock.Now().Sub(sentAt)
-			f.apply(ctx, peer, answer.Update, coalesceDelay)
-		}
-		finished <- result{answer.Update, err}
-	})
-	sentAt := f.Clock.Now()
-	patience := time.NewTimer(transferPatience)
-	defer patience.Stop()
-	select {
-	case r := <-finished:
-		if r.err != nil {
-			f.markPeerSilent(ctx, selector, peer, sentAt, r.err)
-			return
-		}
-		f.markPeerAnswered(selector, peer, r.update)
-	case <-patience.C:
-		f.markPeerSilent(ctx, selector, peer, sentAt, errSlowTransfer)
-	}
-}
-
-// errSlowTransfer is the cause when a peer counts as silent while it sends a
-// configuration.
-var errSlowTransfer = errors.New("the transfer of the configuration takes long and goes on in the background")
-
-func (f *Follower) markPeerSilent(ctx context.Context, selector *sourceSelector, peer string, sentAt flow.Time, cause error) {
-	if ctx.Err() == nil {
-		f.knowledgeLog().Info("peer did not answer the fetch", "step", "fetch", "peer", peer, "cause", cause.Error(), "waited-ms", f.sinceMs(sentAt))
-	}
-	selector.markSilent(f.Clock.Now(), peer)
-}
-
-// markPeerAnswered records an answer. A peer that is not current itself is skipped for
-// a while. A daemon that falls back to a peer still reports that its own source is lost:
-// if its followers stayed, it could fall back to one of them, and nobody in the zone
-// would read the platform.
-func (f *Follower) markPeerAnswered(selector *sourceSelector, peer string, update flow.Update) {
-	selector.markAnswered()
-	if update.SourceLost || update.Age > staleAge {
-		selector.markStale(f.Clock.Now(), peer)
-		return
-	}
-	if !selector.fallingBack {
-		f.setSourceLost(false)
-	}
-}
-
-func (f *Follower) call(ctx context.Context, peer string, request FetchRequest, within time.Duration) (FetchAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	var answer FetchAnswer
-	sentAt := f.Clock.Now()
-	err := f.Dialer.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
-	if err == nil && !answer.Large { // what is only announced is not known yet
-		f.noteHeard(peer, sentAt)
-	}
-	return answer, err
-}
-
-// setSourceLost records whether this daemon has lost its source, and wakes its
-// followers when it has.
-func (f *Follower) setSourceLost(lost bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if lost && !f.sourceLost {
-		f.wakeWaiters()
-	}
-	f.sourceLost = lost
-}
-
 // wakeWaiters wakes the waiting fetches. The caller must hold the lock.
 func (f *Follower) wakeWaiters() {
 	close(f.changed)
@@ -387,15 +263,31 @@
 func (f *Follower) updateState(source string, update flow.Update) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.state.Revision()
-	changed := f.state.Apply(f.Clock.Now(), update)
+	now := f.Clock.Now()
+	before, ageBefore := f.state.Revision(), f.state.Age(now)
+	changed := f.state.Apply(now, update)
 	f.noteOutage(source)
-	if f.state.Revision() > before || changed {
+	renewed := ageBefore > staleAge && f.state.Age(now) <= staleAge
+	if f.state.Revision() > before || changed || renewed {
 		f.wakeWaiters()
 	}
+	if hasConfiguration(update) {
+		f.announcedAt = flow.Never
+	}
+	if f.state.Age(now) < ageBefore {
+		f.wakeReader()
+	}
 	return changed
 }
 
+// wakeReader lets the reader of the platform know that others may have heard it.
+func (f *Follower) wakeReader() {
+	select {
+	case f.platformHeard <- struct{}{}:
+	default:
+	}
+}
+
 func (f *Follower) presumesOutage() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -456,24 +348,27 @@
 
 var errNothingKnown = errors.New("nothing is known yet")
 
-// handleFetch answers as soon as there are changes, or when the wait is over.
+// handleFetch answers as soon as there are changes, or when the wait is over. A requester
+// whose data is stale is also answered when there is a newer proof, and one that waits while
+// the platform is out of order when it is in order again.
 func (f *Follower) handleFetch(ctx context.Context, request any) (any, error) {
 	var fetch FetchRequest
 	if err := request.(listener.Request).Decode(&fetch); err != nil {
 		return nil, err
 	}
+	received := f.Clock.Now()
 	wait := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, peerWatchWait))
 	defer wait.Stop()
 	for {
 		f.mu.Lock()
 		changed := f.changed
 		update := f.state.Since(f.Clock.Now(), fetch.After)
-		update.SourceLost = f.sourceLost
+		update.SourceLost = f.reading == readingLost
 		f.mu.Unlock()
 		if update.Revision == 0 {
 			return nil, errNothingKnown
 		}
-		if update.Revision > fetch.After || update.SourceLost {
+		if update.Revision > fetch.After || fetch.hasNews(update, f.Clock.Now().Sub(received)) {
 			return newFetchAnswer(update, fetch.Large), nil
 		}
 		select {
@@ -486,6 +381,16 @@
 	}
 }
 
+// hasNews reports whether an update without changes is worth an answer before the wait of
+// the request is over.
+func (r FetchRequest) hasNews(update flow.Update, waited time.Duration) bool {
+	if !r.Waiting {
+		return update.SourceLost
+	}
+	age := time.Duration(r.AgeMs)*time.Millisecond + waited
+	return age > staleAge && update.Age <= staleAge
+}
+
 // newFetchAnswer returns the answer with an update. A configuration is only
 // announced unless the request asked for it.
 func newFetchAnswer(update flow.Update, large bool) *FetchAnswer {
--- a/internal/process/follower/recovery_test.go
+++ b/internal/process/follower/recovery_test.go
@@ -246,7 +246,7 @@
 				calls, traffic := f.store.Calls(), f.network.Traffic()
 				outage(f, time.Now().Add(time.Minute))
 				connections, bytes := trafficSince(f, traffic)
-				t.Logf("%d daemons: %d calls to the store, %d new connections, %d bytes between zones", size.daemons, f.store.Calls()-calls, connections, bytes)
+				t.Logf("%d daemons, %s: %d calls to the store, %d new connections, %d bytes between zones", size.daemons, name, f.store.Calls()-calls, connections, bytes)
 			})
 		})
 	}
--- a/internal/process/follower/source.go
+++ b/internal/process/follower/source.go
@@ -13,103 +13,179 @@
 const (
 	// silentPenalty is how long a peer that did not answer is skipped.
 	silentPenalty = 4 * time.Second
-	// stalePenalty is how long a peer with stale data is skipped.
-	stalePenalty = 2 * time.Second
-	// staleAge is the proof age from which a peer is skipped. It is well below the
-	// 2 s within which a configuration must be in force.
+	// lostPenalty is how long a peer is skipped that has lost its source or whose data
+	// is stale.
+	lostPenalty = 2 * time.Second
+	// staleAge is the proof age from which data is stale. It is well below the 2 s
+	// within which a configuration must be in force.
 	staleAge = 1600 * time.Millisecond
-	// minBackoff and maxBackoff bound the wait before the platform is read again
-	// after a failure, because calls to a platform that is down are not free.
-	minBackoff = 150 * time.Millisecond
-	maxBackoff = 2 * time.Second
 	// maxSilentInRow is how many peers in a row may be silent before the platform is
-	// read once. Each takes 600 ms to detect.
+	// read. Each takes 600 ms to detect.
 	maxSilentInRow = 2
+	// maxReaders is how many hosts of a zone read the platform at once, unless they are
+	// silent: the first one, and the next one to tell whether it alone has lost the
+	// platform. If both have, the platform counts as out of order for all.
+	maxReaders = 2
+	// idlePause is the longest pause of a daemon that has nobody to ask.
+	idlePause = 250 * time.Millisecond
 )
 
 // Names of sources in the log, apart from the IP addresses of hosts.
 const (
 	sourcePlatform = "platform"
-	sourceOthers   = "others" // one host after the other, while the platform does not answer
+	sourceOthers   = "others" // hosts in turn, while the platform is out of order
 )
 
 // readerResource is the resource for which hosts are ranked as readers of the
 // platform.
 const readerResource = "reader"
 
+// reading is how far a daemon has come with reading the platform itself.
+type reading int
+
+const (
+	notReading      reading = iota // another host reads the platform for this one
+	readingBegun                   // no call has been answered, and none has failed
+	readingAnswered                // the newest call that ended was answered, or is not late
+	readingLost                    // the platform has not answered since a call failed or was late
+)
+
+// choice is what a daemon reads next.
+type choice struct {
+	peer    string        // the host to ask, or "" for none
+	waiting bool          // the peer is asked to answer once it has news
+	pause   time.Duration // until the next choice, if there is no peer
+	turn    bool          // this daemon reads the platform
+	rank    int           // number of hosts that are not silent and read the platform before this one
+}
+
 // sourceSelector decides from which source a daemon reads. In each zone the first
 // host by rendezvous hashing reads the platform, and the others follow it; when it
-// is silent or stale, the next one takes over. The selector is a state machine.
+// is silent or has lost the platform, the next one takes over. The platform is read
+// beside the peers, so that a call to it that hangs holds nothing up. The selector is
+// a state machine.
 type sourceSelector struct {
 	self        string
-	penalties   map[string]flow.Time // until when a peer is skipped
-	backoff     time.Duration
-	platformAt  flow.Time // the platform is not read before this time
-	fallbacks   int       // number of peers read instead of the platform
-	fallingBack bool      // the newest source is such a peer
-	silentInRow int       // peers in a row that did not answer
+	silentUntil map[string]flow.Time // by peer
+	lostUntil   map[string]flow.Time // by peer
+	silentInRow int                  // peers in a row that did not answer
+	lostInRow   int                  // peers in a row that had lost their source
+	staleInRow  int                  // peers in a row that had lost their source, and whose data was stale
+	turn        bool                 // no host before this one is current: this daemon reads the platform
+	waitingFor  int                  // index of the peer that is waited for while the platform is out of order
 }
 
 func newSourceSelector(self string) *sourceSelector {
-	return &sourceSelector{self: self, penalties: map[string]flow.Time{}, platformAt: flow.Never}
+	return &sourceSelector{self: self, silentUntil: map[string]flow.Time{}, lostUntil: map[string]flow.Time{}}
 }
 
-// nextSource returns the peer to follow, or "" for the platform itself. Elsewhere
-// holds the hosts of other zones.
-func (s *sourceSelector) nextSource(now flow.Time, zone, elsewhere []string) string {
-	s.fallingBack = false
-	ranked := ranker.New(zone).Ranked(readerResource, len(zone))
-	for _, host := range ranked {
-		if host == s.self || s.silentInRow >= maxSilentInRow {
-			break
-		}
-		if !now.Before(s.penaltyEnd(host)) {
-			return host
-		}
+// next returns what to read next. Zone and elsewhere are the listed hosts of this zone
+// and of the others. State says how the platform answers this daemon, and current whether
+// its data is not stale.
+func (s *sourceSelector) next(now flow.Time, zone, elsewhere []string, state reading, current bool) choice {
+	if state == readingAnswered {
+		s.silentInRow, s.lostInRow, s.staleInRow = 0, 0, 0
 	}
-	if !now.Before(s.platformAt) {
-		return ""
+	before, after := s.split(ranker.New(zone).Ranked(readerResource, len(zone)))
+	others := append(slices.Clone(after), ranker.New(elsewhere).Ranked(readerResource, len(elsewhere))...)
+	others = slices.DeleteFunc(others, func(host string) bool { return host == s.self })
+	followed := s.firstUsable(now, before)
+	c := choice{rank: len(s.notSilent(now, before))}
+	// The readers of the zone may be cut off from the platform and the other zones, of
+	// which this daemon has heard.
+	knowsMore := current && s.staleInRow >= maxReaders
+	outOfOrder := s.lostInRow >= maxReaders && !knowsMore
+	mayRead := c.rank < maxReaders || knowsMore || len(elsewhere) == 0
+	if followed == "" && mayRead || s.silentInRow >= maxSilentInRow {
+		s.turn = true
 	}
-	// The platform has just failed for this daemon but may still serve others.
-	others := slices.DeleteFunc(append(ranked, elsewhere...), func(host string) bool {
-		return host == s.self || now.Before(s.penaltyEnd(host))
-	})
-	if len(others) == 0 {
-		return ""
+	c.turn = s.turn
+	switch {
+	case followed != "" && !outOfOrder:
+		c.peer = followed
+	case s.turn && state != readingLost && len(zone) > 0:
+		c.pause = s.untilUsable(now, before)
+	case !outOfOrder && s.firstUsable(now, others) != "":
+		c.peer = s.firstUsable(now, others)
+	default:
+		c.peer = s.nextWaitingPeer(now, append(before, others...))
+		c.waiting, c.pause = state == readingLost || c.peer != "", idlePause
 	}
-	s.fallbacks++
-	s.fallingBack = true
-	return others[s.fallbacks%len(others)]
+	return c
 }
 
-func (s *sourceSelector) penaltyEnd(host string) flow.Time {
-	if until, ok := s.penalties[host]; ok {
-		return until
+// split returns the hosts that rank before and after this one. Those of a list without
+// this host all rank before it.
+func (s *sourceSelector) split(ranked []string) (before, after []string) {
+	i := slices.Index(ranked, s.self)
+	if i < 0 {
+		return ranked, nil
 	}
-	return flow.Never
+	return slices.Clone(ranked[:i]), ranked[i+1:]
 }
 
-func (s *sourceSelector) markSilent(now flow.Time, host string) {
-	s.penalties[host] = now.Add(silentPenalty)
-	s.silentInRow++
+func (s *sourceSelector) notSilent(now flow.Time, hosts []string) []string {
+	return slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return now.Before(s.silentUntil[host]) })
 }
 
-func (s *sourceSelector) markAnswered() { s.silentInRow = 0 }
+// firstUsable returns the first host that is neither silent nor has lost its source, or "".
+func (s *sourceSelector) firstUsable(now flow.Time, hosts []string) string {
+	for _, host := range hosts {
+		if !now.Before(s.silentUntil[host]) && !now.Before(s.lostUntil[host]) {
+			return host
+		}
+	}
+	return ""
+}
 
-func (s *sourceSelector) markStale(now flow.Time, host string) {
-	s.penalties[host] = now.Add(stalePenalty)
+// untilUsable returns for how long no host is usable, at most idlePause.
+func (s *sourceSelector) untilUsable(now flow.Time, hosts []string) time.Duration {
+	pause := idlePause
+	for _, host := range hosts {
+		pause = min(pause, max(s.silentUntil[host], s.lostUntil[host]).Sub(now))
+	}
+	return max(pause, time.Millisecond)
 }
 
-func (s *sourceSelector) markPlatformFailed(now flow.Time, jitter float64) {
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.platformAt = now.Add(time.Duration(float64(s.backoff) * (0.75 + jitter/2)))
+// nextWaitingPeer returns the host to wait for while the platform is out of order, one of
+// the first few that are not silent.
+func (s *sourceSelector) nextWaitingPeer(now flow.Time, hosts []string) string {
+	hosts = s.notSilent(now, hosts)
+	if len(hosts) == 0 {
+		return ""
+	}
+	return hosts[s.waitingFor%min(len(hosts), maxReaders)]
 }
 
-func (s *sourceSelector) markPlatformAnswered() {
-	s.backoff, s.platformAt, s.silentInRow = 0, flow.Never, 0
+// markSilent records that a host did not answer.
+func (s *sourceSelector) markSilent(now flow.Time, host string) {
+	s.silentUntil[host] = now.Add(silentPenalty)
+	s.silentInRow++
+}
+
+// markLost records the answer of a host that has lost its source. Its data may be current
+// all the same: it may have them from other hosts.
+func (s *sourceSelector) markLost(now flow.Time, host string, current bool) {
+	s.lostUntil[host] = now.Add(lostPenalty)
+	s.silentInRow = 0
+	s.lostInRow++
+	s.staleInRow++
+	if current {
+		s.staleInRow = 0
+		return
+	}
+	s.waitingFor++
 }
 
-// platformDelay returns how long to wait before the platform may be read again.
-func (s *sourceSelector) platformDelay(now flow.Time) time.Duration {
-	return max(s.platformAt.Sub(now), 0)
+// markCurrent records the answer of a host whose source answers it.
+func (s *sourceSelector) markCurrent(host string, zone []string) {
+	if s.lostInRow >= maxReaders {
+		clear(s.lostUntil) // the platform is in order again
+	}
+	delete(s.lostUntil, host)
+	s.silentInRow, s.lostInRow, s.staleInRow = 0, 0, 0
+	before, _ := s.split(ranker.New(zone).Ranked(readerResource, len(zone)))
+	if slices.Contains(before, host) {
+		s.turn = false
+	}
 }
--- a/internal/process/follower/source_test.go
+++ b/internal/process/follower/source_test.go
@@ -20,70 +20,113 @@
 
 func TestNextSource(t *testing.T) {
 	zone, elsewhere := rankedHosts(), []string{"10.2.0.1"}
+	silence := func(hosts ...string) func(s *sourceSelector) {
+		return func(s *sourceSelector) {
+			for _, host := range hosts {
+				s.markSilent(0, host)
+			}
+		}
+	}
+	lose := func(hosts ...string) func(s *sourceSelector) {
+		return func(s *sourceSelector) {
+			for _, host := range hosts {
+				s.markLost(0, host, false)
+			}
+		}
+	}
+	type wanted struct {
+		peer    string // "" for none
+		turn    bool   // the platform is read
+		waiting bool
+	}
 	cases := map[string]struct {
 		self   int // index in the order
+		state  reading
 		events func(s *sourceSelector)
 		after  time.Duration
-		want   string // "" for the platform
+		want   wanted
 	}{
-		"first host reads the platform":                           {0, nil, 0, ""},
-		"second host follows the first":                           {1, nil, 0, zone[0]},
-		"third host follows the first":                            {2, nil, 0, zone[0]},
-		"third host follows the second when the first is silent":  {2, func(s *sourceSelector) { s.markSilent(0, zone[0]) }, 0, zone[1]},
-		"second host reads the platform when the first is silent": {1, func(s *sourceSelector) { s.markSilent(0, zone[0]) }, 0, ""},
-		"second host follows the first again after the penalty":   {1, func(s *sourceSelector) { s.markSilent(0, zone[0]) }, silentPenalty, zone[0]},
-		"third host follows the second when the first is stale":   {2, func(s *sourceSelector) { s.markStale(0, zone[0]) }, 0, zone[1]},
-		"two silent peers in a row make a host read the platform": {2, func(s *sourceSelector) { s.markSilent(0, zone[0]); s.markSilent(0, "another") }, 0, ""},
-		"two silent peers with an answer in between do not": {2, func(s *sourceSelector) {
+		"first host reads the platform":                           {0, notReading, nil, 0, wanted{"", true, false}},
+		"second host follows the first":                           {1, notReading, nil, 0, wanted{zone[0], false, false}},
+		"third host follows the first":                            {2, notReading, nil, 0, wanted{zone[0], false, false}},
+		"third host follows the second when the first is silent":  {2, notReading, silence(zone[0]), 0, wanted{zone[1], false, false}},
+		"second host reads the platform when the first is silent": {1, notReading, silence(zone[0]), 0, wanted{"", true, false}},
+		"second host asks the first again after the penalty":      {1, readingAnswered, silence(zone[0]), silentPenalty, wanted{zone[0], false, false}},
+		"third host follows the second when the first is stale":   {2, notReading, lose(zone[0]), 0, wanted{zone[1], false, false}},
+		"second host reads the platform when the first is stale":  {1, notReading, lose(zone[0]), 0, wanted{"", true, false}},
+		"two silent peers in a row make a host read the platform": {2, notReading, silence(zone[0], "another"), 0, wanted{zone[1], true, false}},
+		"two silent peers with an answer in between do not": {2, notReading, func(s *sourceSelector) {
 			s.markSilent(0, zone[0])
-			s.markAnswered()
+			s.markCurrent(zone[1], zone)
 			s.markSilent(0, "another")
-		}, 0, zone[1]},
-		"host reads the platform when all before it are silent":   {2, func(s *sourceSelector) { s.markSilent(0, zone[0]); s.markSilent(0, zone[1]) }, 0, ""},
-		"first host follows a peer while the platform is failing": {0, func(s *sourceSelector) { s.markPlatformFailed(0, 0) }, 0, zone[2]},
-		"first host reads the platform again after the backoff":   {0, func(s *sourceSelector) { s.markPlatformFailed(0, 0) }, maxBackoff, ""},
-		"first host reads the platform once it answers":           {0, func(s *sourceSelector) { s.markPlatformFailed(0, 0); s.markPlatformAnswered() }, 0, ""},
-		"first host reads the platform when no peer is left": {0, func(s *sourceSelector) {
-			s.markPlatformFailed(0, 0)
-			for _, host := range append(slices.Clone(zone), elsewhere...) {
-				s.markSilent(0, host)
-			}
-		}, 0, ""},
+		}, 0, wanted{zone[1], false, false}},
+		"host reads the platform when all before it are silent":      {2, notReading, silence(zone[0], zone[1]), 0, wanted{"", true, false}},
+		"third host reads when the first is stale, second silent":    {2, notReading, func(s *sourceSelector) { lose(zone[0])(s); silence(zone[1])(s) }, 0, wanted{"", true, false}},
+		"first host asks a peer too while the platform is lost":      {0, readingLost, nil, 0, wanted{zone[1], true, false}},
+		"first host reads the platform alone once it answers":        {0, readingAnswered, lose(zone[1], zone[2]), 0, wanted{"", true, false}},
+		"first host reads the platform when no peer is left":         {0, readingLost, silence(zone[1], zone[2], elsewhere[0]), 0, wanted{"", true, true}},
+		"first host goes elsewhere when its zone is silent":          {0, readingLost, silence(zone[1], zone[2]), 0, wanted{elsewhere[0], true, false}},
+		"first host waits for a peer when all are lost":              {0, readingLost, lose(zone[1], zone[2]), 0, wanted{zone[1], true, true}},
+		"third host waits for a reader when both are lost":           {2, notReading, lose(zone[0], zone[1]), 0, wanted{zone[0], false, true}},
+		"third host waits for the other reader when one has no news": {2, notReading, lose(zone[0], zone[1], zone[0]), 0, wanted{zone[1], false, true}},
+		"third host stays with a lost reader that has news": {2, notReading, func(s *sourceSelector) {
+			lose(zone[0], zone[1])(s)
+			s.markLost(0, zone[0], true)
+		}, 0, wanted{zone[0], false, true}},
+		"third host follows the first once it is current": {2, notReading, func(s *sourceSelector) {
+			lose(zone[0], zone[1])(s)
+			s.markCurrent(zone[0], zone)
+		}, 0, wanted{zone[0], false, false}},
+		"second host stops reading once the first is current": {1, readingLost, func(s *sourceSelector) {
+			lose(zone[0])(s)
+			s.next(0, zone, elsewhere, readingLost, false)
+			s.markCurrent(zone[0], zone)
+		}, 0, wanted{zone[0], false, false}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			s := newSourceSelector(zone[tc.self])
 			if tc.events != nil {
 				tc.events(s)
 			}
-			now := s.platformAt.Add(0)
-			now = max(now, 0)
-			if tc.after == 0 {
-				now = 0
-			} else {
-				now = now.Add(tc.after)
-			}
-			is.New(t).Equal(s.nextSource(now, zone, elsewhere), tc.want)
+			got := s.next(flow.Time(0).Add(tc.after), zone, elsewhere, tc.state, false)
+			is.Equal(wanted{got.peer, got.turn, got.waiting}, tc.want)
+			is.True(got.peer != "" || got.pause > 0)
 		})
 	}
 }
 
-// TestBackoffBoundsCallsToAFailedPlatform counts the calls of a daemon to a platform
-// that is down for a minute. Calls are not free, but a backoff that is too long
-// leaves the data stale.
+// TestThirdHostReadsWhenReadersAreCutOff checks a zone whose two readers are cut off from the
+// platform and the other zones: a host that hears of the platform from another zone reads it.
+func TestThirdHostReadsWhenReadersAreCutOff(t *testing.T) {
+	zone, elsewhere := rankedHosts(), []string{"10.2.0.1"}
+	for current, want := range map[bool]bool{false: false, true: true} {
+		s := newSourceSelector(zone[2])
+		s.markLost(0, zone[0], false)
+		s.markLost(0, zone[1], false)
+		is.New(t).Equal(s.next(0, zone, elsewhere, notReading, current).turn, want)
+	}
+}
+
+// TestBackoffBoundsCallsToAFailedPlatform counts the calls of a daemon, and of all daemons
+// of a large zone, to a platform that is down for a minute. Calls are not free, but a
+// backoff that is too long leaves the data stale.
 func TestBackoffBoundsCallsToAFailedPlatform(t *testing.T) {
 	is := is.New(t)
-	s := newSourceSelector("10.1.0.1")
-	calls := 0
-	for now, until := s.platformAt, 60*time.Second; ; calls++ {
-		s.markPlatformFailed(max(now, 0), 0.5)
-		now = max(now, 0).Add(s.platformDelay(max(now, 0)))
-		if now.Sub(0) > until {
-			break
+	count := func(rank int) (calls int) {
+		var b backoff
+		for now := time.Duration(0); ; calls++ {
+			now += b.next(rank, 0.5)
+			if now > 60*time.Second {
+				return calls
+			}
+			is.True(rank >= maxReaders || time.Duration(b) <= maxBackoff)
 		}
-		is.True(s.backoff <= maxBackoff)
 	}
-	is.True(calls < 40)
+	is.True(count(0) < 40)
+	is.True(count(1) < 40)
+	is.True(count(2)+count(3)+count(4) < 40)
 }
 
 // TestFreshAgainAfterManyHostsAreLost simulates a zone in which most hosts that rank
@@ -110,22 +153,30 @@
 			t.Run(fmt.Sprint(name, " within ", within), func(t *testing.T) {
 				is := is.New(t)
 				s := newSourceSelector(ranked[6])
+				wait := (&Follower{Parts: Parts{ApplyWithin: within}}).platformWait()
 				oldest, reads := time.Duration(0), 0
+				state := notReading
 				now, provenAt := flow.Time(0), flow.Time(0)
+				readUntil := flow.Time(0)
 				for now.Sub(0) < span {
-					source := s.nextSource(now, hosts, nil)
-					rank := slices.Index(ranked, source)
+					next := s.next(now, hosts, nil, state, true)
+					switch {
+					case !next.turn:
+						state = notReading
+					case state == notReading || !now.Before(readUntil):
+						reads++ // the platform answers at once, and then each wait
+						state, provenAt, readUntil = readingAnswered, max(provenAt, now), now.Add(wait)
+					}
+					rank := slices.Index(ranked, next.peer)
 					switch {
-					case source == "":
-						reads++
-						s.markPlatformAnswered()
-						now, provenAt = now.Add((&Follower{Parts: Parts{ApplyWithin: within}}).platformWait()), now
+					case next.peer == "":
+						now = now.Add(next.pause)
 					case rank < tc.lost:
 						now = now.Add(silentAfter)
-						s.markSilent(now, source)
+						s.markSilent(now, next.peer)
 					default:
-						s.markAnswered()
-						now, provenAt = now.Add(peerWatchWait), now
+						s.markCurrent(next.peer, hosts)
+						now, provenAt = now.Add(peerWatchWait), max(provenAt, now)
 					}
 					oldest = max(oldest, now.Sub(provenAt))
 				}
--- a/internal/process/follower/start_test.go
+++ b/internal/process/follower/start_test.go
@@ -21,7 +21,7 @@
 }
 
 // Watch implements flow.Source.
-func (c *changingPlatform) Watch(context.Context, flow.Revision, time.Duration) (flow.Update, error) {
+func (c *changingPlatform) Watch(context.Context, flow.Revision, time.Duration, func()) (flow.Update, error) {
 	c.reads++
 	return flow.Update{Revision: c.reads, Changes: []flow.Change{{
 		Key: "servers/s", Revision: c.reads,
@@ -66,7 +66,7 @@
 type panickingPlatform struct{ reads int }
 
 // Watch implements flow.Source.
-func (p *panickingPlatform) Watch(ctx context.Context, _ flow.Revision, wait time.Duration) (flow.Update, error) {
+func (p *panickingPlatform) Watch(ctx context.Context, _ flow.Revision, wait time.Duration, _ func()) (flow.Update, error) {
 	p.reads++
 	if p.reads > 2 {
 		flow.Sleep(ctx, wait)
--- a/internal/process/follower/touch.go
+++ b/internal/process/follower/touch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
+	"github.com/coltsfootflow/coltsfootflow/internal/version/ranker"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -16,6 +17,9 @@
 	// inquiryAge is the proof age from which the other zones are asked. A follower's proof
 	// normally stays below it.
 	inquiryAge = staleAge
+	// zoneInterval is the time between two looks for zones to ask while this daemon reads
+	// for its own.
+	zoneInterval = 100 * time.Millisecond
 	// inquiryDemand is how long after a call of InTouch inquiries go on.
 	inquiryDemand = 2 * time.Second
 )
@@ -78,6 +82,18 @@
 // while it answered no host of this zone, the answer says so: this zone was cut off, and
 // the entries that were deleted meanwhile have not lapsed.
 func (f *Follower) inquire(ctx context.Context) {
+	for zone, hosts := range f.otherHosts() {
+		peer, index := f.hostToInquire(zone, hosts)
+		f.background.Go(func() {
+			defer recoverer.Recover(f.Log, "follow", func() {})
+			f.inquireOf(ctx, zone, peer, index, f.newFetchRequest(0, false))
+		})
+	}
+}
+
+// otherHosts returns all hosts but this one by zone, in the order in which they read the
+// platform.
+func (f *Follower) otherHosts() map[string][]string {
 	catalog := f.Catalog()
 	byZone := map[string][]string{}
 	for _, host := range catalog.Hosts() {
@@ -85,24 +101,98 @@
 			byZone[catalog.ZoneOf(host)] = append(byZone[catalog.ZoneOf(host)], host)
 		}
 	}
-	request := FetchRequest{After: f.revision()}
 	for zone, hosts := range byZone {
-		f.mu.Lock()
-		index := f.inquired[zone]
-		f.mu.Unlock()
-		peer := hosts[index%len(hosts)]
-		f.transfers.Go(func() {
-			defer recoverer.Recover(f.Log, "follow", func() {})
-			sentAt := f.Clock.Now()
-			answer, err := f.call(ctx, peer, request, peerAnswerMargin)
-			if err != nil {
-				f.mu.Lock()
-				f.inquired[zone] = index + 1 // the next host of the zone
-				f.mu.Unlock()
-				return
+		byZone[zone] = ranker.New(hosts).Ranked(readerResource, len(hosts))
+	}
+	return byZone
+}
+
+// hostToInquire returns the first host of a zone that has not failed to answer since all have,
+// and its index, which grows with each failure.
+func (f *Follower) hostToInquire(zone string, hosts []string) (host string, index int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	index = f.inquired[zone]
+	return hosts[index%len(hosts)], index
+}
+
+// inquireOf asks a host of a zone what it knows. A configuration that it announces is
+// requested if the requester waits for it, or if it has not come from elsewhere in time.
+func (f *Follower) inquireOf(ctx context.Context, zone, peer string, index int, request FetchRequest) {
+	sentAt := f.Clock.Now()
+	within := time.Duration(request.WaitMs)*time.Millisecond + peerAnswerMargin
+	answer, err := f.call(ctx, peer, request, within)
+	if err == nil && answer.Large {
+		if request.Waiting || f.awaitsAnnounced() {
+			_, err = f.transfer(ctx, peer, request)
+		}
+	} else if err == nil {
+		answer.Update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
+		f.apply(ctx, peer, answer.Update, 0)
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	f.knowledgeLog().Info("peer did not answer the fetch", "step", "inquire", "peer", peer, "cause", err.Error(), "waited-ms", f.sinceMs(sentAt))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inquired[zone] = index + 1
+}
+
+// awaitsAnnounced records that a configuration was announced, and reports whether it should
+// have come from the source of this daemon by now.
+func (f *Follower) awaitsAnnounced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.announcedAt == flow.Never {
+		f.announcedAt = now
+	}
+	return now.Sub(f.announcedAt) > transferPatience
+}
+
+// readOtherZones waits for the news of one host of each other zone, while this daemon is to
+// read the platform for its own zone and the platform does not answer it.
+func (f *Follower) readOtherZones(ctx context.Context) {
+	for flow.Sleep(ctx, zoneInterval) {
+		if !f.readsForZone() {
+			continue
+		}
+		for zone, hosts := range f.otherHosts() {
+			if zone == f.Zone || !f.beginAsking(zone) {
+				continue
 			}
-			answer.Update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
-			f.apply(ctx, peer, answer.Update, 0)
-		})
+			peer, index := f.hostToInquire(zone, hosts)
+			f.background.Go(func() {
+				defer f.endAsking(zone)
+				defer recoverer.Recover(f.Log, "follow", func() {})
+				f.inquireOf(ctx, zone, peer, index, f.newFetchRequest(peerWatchWait, true))
+			})
+		}
+	}
+}
+
+// readsForZone reports whether this daemon is the first of its zone that is to read the
+// platform, and the platform does not answer it.
+func (f *Follower) readsForZone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.turn && f.rank == 0 && f.reading == readingLost
+}
+
+// beginAsking reports whether a zone may be asked: no answer of it is awaited.
+func (f *Follower) beginAsking(zone string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asking[zone] {
+		return false
 	}
+	f.asking[zone] = true
+	return true
+}
+
+func (f *Follower) endAsking(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.asking, zone)
 }
--- a/internal/process/follower/transfer_test.go
+++ b/internal/process/follower/transfer_test.go
@@ -28,7 +28,7 @@
 type lostPlatform struct{}
 
 // Watch implements flow.Source.
-func (lostPlatform) Watch(context.Context, flow.Revision, time.Duration) (flow.Update, error) {
+func (lostPlatform) Watch(context.Context, flow.Revision, time.Duration, func()) (flow.Update, error) {
 	return flow.Update{}, errors.New("refused")
 }
 
@@ -153,7 +153,7 @@
 	is.Equal(reader.revision(), flow.Revision(2)) // heard from the peer
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
-	is.True(reader.sourceLost)
+	is.Equal(reader.reading, readingLost)
 }
 
 // TestAnnouncementIsNoKnowledge checks that a host that has only announced a configuration
