Questions to other daemons do not wait behind a watch of the same one

Seen: in an outage of the store daemons logged live hosts as silent ("call: the connection is silent" after 0.2 to 0.3 s), skipped them for 4 s and opened new connections to them. It kept readers of the store and their followers apart for seconds.

Cause: a host answers the requests of a connection in order. An inquiry, which may take 0.2 s, went over the connection on which a watch of the same host waits for 0.4 s; it ran into its limit, and since nothing had been received meanwhile the connection was closed as dead, with the watch on it.

Change: inquiries go over the connections of the calls that are answered at once. A configuration that a host of the own zone announces to an inquiry comes from the source in the zone.

--- a/internal/process/follower/fleet_test.go
+++ b/internal/process/follower/fleet_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
@@ -77,12 +79,13 @@
 	generation int
 	cancel     context.CancelFunc
 	stopped    chan struct{}
-	dialer     *dialer.Dialer
+	dialers    []*dialer.Dialer
 
 	mu        sync.Mutex
 	follower  *follower.Follower // nil while the daemon is down
 	startedAt time.Time
 	inForce   map[uint64]time.Time // by version: since when a configuration at least as new is in force in this run of the daemon
+	silences  []string             // log lines about hosts that did not answer
 }
 
 // runFleet runs a test on a fleet in simulated time, once all daemons know everything.
@@ -190,10 +193,12 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	h.cancel, h.stopped = cancel, make(chan struct{})
 	options := framer.Options{Self: framer.Identity{Host: h.ip}, Secret: []byte("sixteen characters"), MaxPayloadBytes: 1 << 20}
-	h.dialer = dialer.New(options, f.network.Host(h.ip))
+	log := funcr.New(h.noteLine, funcr.Options{})
+	watches, calls := dialer.New(options, f.network.Host(h.ip)), dialer.New(options, f.network.Host(h.ip))
+	h.dialers = []*dialer.Dialer{watches, calls}
 	one := follower.New(follower.Parts{
 		Host: h.ip, Zone: h.zone, PeerPort: fleetPeerPort, Platform: platform.NewStore(fleetStore, f.network.Host(h.ip), bubbleClock{}, logr.Discard()),
-		Dialer: h.dialer, Clock: bubbleClock{}, Log: logr.Discard(), Random: rand.New(rand.NewPCG(h.random.Uint64(), 2)), ApplyWithin: f.size.applyWithin,
+		Dialer: watches, Calls: calls, Clock: bubbleClock{}, Log: log, Random: rand.New(rand.NewPCG(h.random.Uint64(), 2)), ApplyWithin: f.size.applyWithin,
 		OnChange: h.note,
 	})
 	h.mu.Lock()
@@ -220,6 +225,15 @@
 	}()
 }
 
+// noteLine records a line of the log if it is about a host that did not answer.
+func (h *fleetHost) noteLine(_, line string) {
+	if strings.Contains(line, "peer did not answer") {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.silences = append(h.silences, line)
+	}
+}
+
 // note records since when versions of the configuration are in force.
 func (h *fleetHost) note(catalog *cataloger.Catalog) {
 	h.mu.Lock()
@@ -239,7 +253,9 @@
 	}
 	h.cancel()
 	h.fleet.network.Reset(h.ip)
-	h.dialer.Close()
+	for _, d := range h.dialers {
+		d.Close()
+	}
 	<-h.stopped
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -36,7 +36,8 @@
 	Zone     string
 	PeerPort string // control port, the same on all hosts
 	Platform flow.Source
-	Dialer   *dialer.Dialer
+	Dialer   *dialer.Dialer // for watches, which occupy their connection while they wait
+	Calls    *dialer.Dialer // for calls that are answered at once
 	Clock    flow.Clock
 	Log      logr.Logger
 	Random   *rand.Rand // used only by the goroutine that reads the platform
--- a/internal/process/follower/outage_test.go
+++ b/internal/process/follower/outage_test.go
@@ -68,9 +68,10 @@
 			f.storeLink[host], err = links.Add(interrupter.LinkOptions{Name: "store-" + host, Address: net.JoinHostPort(host, "0"), Target: storeSocket.Addr().String()})
 			is.NoErr(err)
 			clock := flow.NewMonotonicClock()
+			local := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
 			one := follower.New(follower.Parts{
 				Host: host, Zone: zone, PeerPort: peerPort, Platform: platform.NewStore(f.storeLink[host].Addr(), nil, clock, logr.Discard()),
-				Dialer: dialer.New(options, &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}), Clock: clock, Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)), ApplyWithin: 2 * time.Second,
+				Dialer: dialer.New(options, local), Calls: dialer.New(options, local), Clock: clock, Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)), ApplyWithin: 2 * time.Second,
 			})
 			f.followers[host] = one
 			go func() {
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -174,8 +174,12 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var answer FetchAnswer
+	connections := f.Calls
+	if request.WaitMs > 0 || request.Large {
+		connections = f.Dialer
+	}
 	sentAt := f.Clock.Now()
-	err := f.Dialer.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
+	err := connections.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
 	if err == nil && !answer.Large { // what is only announced is not known yet
 		f.noteHeard(peer, sentAt)
 	}
--- a/internal/process/follower/recovery_test.go
+++ b/internal/process/follower/recovery_test.go
@@ -228,6 +228,21 @@
 	}
 }
 
+// TestLiveHostsAnswerInOutage guards against daemons that take a live host for silent, and ask
+// others for 4 s, since two questions to it were on one connection and the first one waited.
+func TestLiveHostsAnswerInOutage(t *testing.T) {
+	runFleet(t, smallFleet, 1, func(t *testing.T, f *fleet) {
+		outages["silent"](f, time.Now().Add(10*time.Second))
+		for _, h := range f.hosts {
+			h.mu.Lock()
+			for _, line := range h.silences {
+				t.Errorf("%s: %s", h.ip, line)
+			}
+			h.mu.Unlock()
+		}
+	})
+}
+
 // TestPriceOfOutage prints what a minute without a fault and a minute of each outage cost.
 func TestPriceOfOutage(t *testing.T) {
 	printPrices(t, smallFleet)
--- a/internal/process/follower/touch.go
+++ b/internal/process/follower/touch.go
@@ -123,7 +123,7 @@
 	within := time.Duration(request.WaitMs)*time.Millisecond + peerAnswerMargin
 	answer, err := f.call(ctx, peer, request, within)
 	if err == nil && answer.Large {
-		if request.Waiting || f.awaitsAnnounced() {
+		if zone != f.Zone && (request.Waiting || f.awaitsAnnounced()) {
 			_, err = f.transfer(ctx, peer, request)
 		}
 	} else if err == nil {
--- a/internal/process/follower/transfer_test.go
+++ b/internal/process/follower/transfer_test.go
@@ -81,7 +81,7 @@
 			defer cancel()
 			arrived := make(chan struct{})
 			follower := New(Parts{
-				Host: self, Zone: "a", PeerPort: port, Platform: lostPlatform{}, Dialer: dialer.New(options, nil),
+				Host: self, Zone: "a", PeerPort: port, Platform: lostPlatform{}, Dialer: dialer.New(options, nil), Calls: dialer.New(options, nil),
 				Clock: flow.NewMonotonicClock(), Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
 			})
 			follower.apply(ctx, "test", knownHosts(hosts), 0)
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), configurationBound)
 	defer cancel()
 	reader := New(Parts{
-		Host: ranked[0], Zone: "a", PeerPort: port, Platform: lostPlatform{}, Dialer: dialer.New(options, nil),
+		Host: ranked[0], Zone: "a", PeerPort: port, Platform: lostPlatform{}, Dialer: dialer.New(options, nil), Calls: dialer.New(options, nil),
 		Clock: flow.NewMonotonicClock(), Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	reader.apply(ctx, "test", knownHosts(hosts), 0)
@@ -172,7 +172,7 @@
 	go func() {
 		_ = (&listener.Listener{Options: options, Endpoints: peer.Endpoints(), Log: logr.Discard()}).Serve(t.Context(), socket)
 	}()
-	one := New(Parts{Host: hosts[0], Zone: "a", PeerPort: port, Dialer: dialer.New(options, nil), Clock: flow.NewMonotonicClock(), Log: logr.Discard()})
+	one := New(Parts{Host: hosts[0], Zone: "a", PeerPort: port, Dialer: dialer.New(options, nil), Calls: dialer.New(options, nil), Clock: flow.NewMonotonicClock(), Log: logr.Discard()})
 	one.apply(t.Context(), "test", knownHosts(hosts), 0)
 	for _, large := range []bool{false, true} {
 		answer, err := one.call(t.Context(), hosts[1], FetchRequest{After: 1, Large: large}, configurationBound)
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -182,6 +182,7 @@
 		PeerPort: peerPort,
 		Platform: s.platform.NewSource(settings.Sidecar.Store, s.clock, s.log.WithName("store")),
 		Dialer:   watchDialer,
+		Calls:    callDialer,
 		Clock:    s.clock,
 		Log:      s.log.WithName("follow"),
 		Random:   newRandom(1),
