A response of the store that stops in its body is late

The time limit of a response held until its head; a body that stopped then held the reader of a zone for 3 s, in which it asked no other host, and it did not say that it had lost the store. The bound is 2 s.

A body that comes slowly is waited for as before: configurations are large and links slow.

--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -120,9 +120,9 @@
 type Source interface {
 	// Watch waits until there are changes after a revision and returns them, or an
 	// Update without changes after the given wait. Revision 0 requests the
-	// complete state. If the source does not begin to respond shortly after the
-	// wait, Watch calls late and goes on for some seconds: the source may be silent
-	// or slow. Several watches may run at once.
+	// complete state. If the response does not begin shortly after the wait, or
+	// stops, Watch calls late once and goes on for some seconds: the source may be
+	// silent or slow. Several watches may run at once.
 	Watch(ctx context.Context, after Revision, wait time.Duration, late func()) (Update, error)
 }
 
