A connection that falls silent before its handshake is given up after 1 s

All calls to a daemon wait for the same new connection; its handshake took up to 2 s of silence, though a further connection would have worked.

Result: TestSilentHandshakeIsGivenUp: 2.00 s before, 1.0 s now; the next call is answered.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// dialTimeout bounds opening a TCP connection.
+	// dialTimeout bounds opening a TCP connection, and openTimeout its handshake, too.
 	dialTimeout = 500 * time.Millisecond
+	openTimeout = time.Second
 	// redialDelay is how long calls fail without a new dial after a failed one.
 	redialDelay = 100 * time.Millisecond
 	// idleTimeout is how long a connection without calls is kept. It is shorter than the
@@ -173,7 +174,7 @@
 }
 
 // dial opens the connection and wakes the calls that wait for it. It takes no longer
-// than dialTimeout and the timeout of the handshake together.
+// than openTimeout.
 func (p *peer) dial() {
 	conn, err := p.open()
 	p.mu.Lock()
@@ -201,11 +202,18 @@
 }
 
 func (p *peer) open() (*framer.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	conn, err := p.connector.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dialTCP(ctx)
 	if err != nil {
 		return nil, err
 	}
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })() // ends the handshake
 	return framer.Client(conn, p.options)
 }
+
+func (p *peer) dialTCP(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return p.connector.DialContext(ctx, "tcp", p.address)
+}
--- a/internal/connection/dialer/dialer_test.go
+++ b/internal/connection/dialer/dialer_test.go
@@ -37,8 +37,9 @@
 	target   string
 	accepted atomic.Int64
 
-	mu    sync.Mutex
-	muted []*atomic.Bool
+	mu       sync.Mutex
+	muted    []*atomic.Bool
+	muteNext bool
 }
 
 func newRelay(t *testing.T, target string) *relay {
@@ -67,6 +68,8 @@
 		r.accepted.Add(1)
 		muted := &atomic.Bool{}
 		r.mu.Lock()
+		muted.Store(r.muteNext)
+		r.muteNext = false
 		r.muted = append(r.muted, muted)
 		r.mu.Unlock()
 		go func() { _, _ = io.Copy(server, client); _ = server.Close() }()
@@ -74,6 +77,13 @@
 	}
 }
 
+// muteNextConnection drops everything that the target sends over the next connection.
+func (r *relay) muteNextConnection() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.muteNext = true
+}
+
 // muteOpenConnections drops everything that the target sends from now on over the
 // connections that are open.
 func (r *relay) muteOpenConnections() {
@@ -155,6 +165,26 @@
 	is.Equal(r.accepted.Load(), int64(2))
 }
 
+// TestSilentHandshakeIsGivenUp guards against calls that wait for a connection which has
+// fallen silent before its handshake, while a new one would work: their host counts as silent.
+func TestSilentHandshakeIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	r := newRelay(t, serve(t, echo))
+	r.muteNextConnection()
+	d := dialer.New(options("a"), nil)
+	defer d.Close()
+	began := time.Now()
+	_, err := call(d, r.listener.Addr().String(), 5*time.Second)
+	is.True(err != nil)
+	took := time.Since(began)
+	t.Logf("given up after %v", took)
+	is.True(took < 1500*time.Millisecond)
+	time.Sleep(200 * time.Millisecond) // for which it is not dialed again
+	answer, err := call(d, r.listener.Addr().String(), 5*time.Second)
+	is.NoErr(err)
+	is.Equal(answer, "hello")
+}
+
 func TestCallErrorNamesStepAndPeer(t *testing.T) {
 	cases := map[string]struct {
 		call endpoint.Endpoint
