The other daemon gives up a call to a silent platform in time

A watch took 0.5 s and 5 s, then a pause of up to 2 s, and the spread to all daemons takes up to a second: more than the 8 s within which a change is to be in force.

Change: a response may take 3 s beyond its wait.

Result: TestSilentPlatformIsGivenUpInTime: given up after 5.5 s before, 3.5 s now.

--- a/internal/process/reader/client.go
+++ b/internal/process/reader/client.go
@@ -23,7 +23,7 @@
 	// changes.
 	WatchTimeout = 30 * time.Second
 	// readTimeout bounds a read, and the time that a watch may take beyond its wait.
-	readTimeout = 5 * time.Second
+	readTimeout = 3 * time.Second
 	// pageLimit is the requested size of a page in bytes.
 	pageLimit = 1 << 20
 	// bodyLimit bounds the body of an answer in bytes.
