Soak: the store falls silent while daemons restart and changes queue

Its check of the configuration asked for 3 s without a fault before a change; a change that is acknowledged as the store returns was never checked.

Change: an outage of the store for 2 to 9 s, in which a drawn half of the daemons are killed and start again at drawn times, and after which one to four changes follow each other. Changes of a route and withdrawn keys are held against the users' rule: 2 s after the change, and 3 s without a fault before the request.

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -79,7 +79,7 @@
 		c.report("caller-service", "%s from a host of %q ran with caller service %q", e.id, service, r.caller)
 	}
 	for _, withdrawal := range h.keyWithdrawals {
-		if withdrawal.subject == e.key && e.sent.After(withdrawal.at.Add(maxConfigDelay)) && h.undisturbed(withdrawal.at, e.sent) {
+		if withdrawal.subject == e.key && e.sent.After(withdrawal.at.Add(maxConfigDelay)) && h.inTouch(e.sent) {
 			c.report("withdrawn-key", "%s ran %v after its key was withdrawn", e.id, e.sent.Sub(withdrawal.at))
 		}
 	}
@@ -91,7 +91,7 @@
 		if i+1 < len(h.routeChanges) && h.routeChanges[i+1].at.Before(until) {
 			continue // a later change may be in force
 		}
-		if change.subject != r.service && e.sent.After(change.at.Add(maxConfigDelay)) && h.undisturbed(change.at, e.sent) {
+		if change.subject != r.service && e.sent.After(change.at.Add(maxConfigDelay)) && h.inTouch(e.sent) {
 			c.report("configuration", "%s ran on %q %v after its route changed to %q", e.id, r.service, e.sent.Sub(change.at), change.subject)
 		}
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -20,7 +20,8 @@
 type faultInjector struct {
 	deployment  *deployment
 	random      *rand.Rand
-	busyTargets sync.Map // targets of running events, so that events on one target do not overlap
+	outages     *rand.Rand // of the outages of the store, so that they leave the other events of a seed as they are
+	busyTargets sync.Map   // targets of running events, so that events on one target do not overlap
 }
 
 // event is a kind of fault or of planned work. run returns when it is over.
@@ -108,6 +109,9 @@
 	}},
 }
 
+// outageOneIn is the share of the steps of the injector at which an outage of the store begins.
+const outageOneIn = 10
+
 // plannedEvents are the events that are no faults: the guarantees hold while they last.
 var plannedEvents = []string{reloadEvent, "release", "move-route", "withdraw-key", "zone-out", "stop", "store-compact"}
 
@@ -119,6 +123,9 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
+		if injector.outages.IntN(outageOneIn) == 0 {
+			injector.storeOutage(ctx)
+		}
 		e := events[injector.random.IntN(len(events))]
 		host := injector.random.IntN(len(injector.deployment.hosts))
 		eventDuration := time.Duration(300+injector.random.IntN(3200)) * time.Millisecond
@@ -152,6 +159,44 @@
 	injector.deployment.logf("host %d: %s is over", host, e.name)
 }
 
+// storeOutage silences the store for some seconds. Some daemons restart meanwhile, and
+// changes queue that are published one after the other once it is back.
+func (injector *faultInjector) storeOutage(ctx context.Context) {
+	dep := injector.deployment
+	length := time.Duration(2000+injector.outages.IntN(7000)) * time.Millisecond
+	dep.logf("the store is silent for %v", length)
+	done := dep.history.beginFault()
+	dep.store.SetMode(emulator.Silent)
+	var restarts sync.WaitGroup
+	for h := range dep.hosts {
+		down := time.Duration(injector.outages.Int64N(int64(length)))
+		if injector.outages.IntN(2) == 0 {
+			continue
+		}
+		target := fmt.Sprint("host-", h)
+		if _, busy := injector.busyTargets.LoadOrStore(target, true); busy {
+			continue
+		}
+		restarts.Go(func() {
+			defer injector.busyTargets.Delete(target)
+			dep.hosts[h].daemon.kill()
+			flow.Sleep(ctx, down)
+			dep.logf("host %d: started after %v", h, down)
+			injector.restartDaemon(h)
+		})
+	}
+	flow.Sleep(ctx, length)
+	restarts.Wait()
+	dep.store.SetMode(emulator.Serving)
+	done()
+	dep.logf("the store is back")
+	for range 1 + injector.outages.IntN(4) {
+		flow.Sleep(ctx, time.Duration(injector.outages.IntN(400))*time.Millisecond)
+		injector.changeRoute()
+	}
+	flow.Sleep(ctx, undisturbedWindow+maxConfigDelay)
+}
+
 // breakLink sets a fault on one of a host's links for the given time.
 func (injector *faultInjector) breakLink(ctx context.Context, duration time.Duration, host int, direction interrupter.Direction, fault interrupter.Fault) {
 	kind := []string{"data", "peer", "store"}[duration.Milliseconds()%3]
--- a/internal/soaker/history.go
+++ b/internal/soaker/history.go
@@ -71,6 +71,10 @@
 	})
 }
 
+// inTouch reports whether no fault lasted in the window before a time. From then on changes
+// hold that were published long enough before, also while a fault lasted.
+func (h *history) inTouch(at time.Time) bool { return h.undisturbed(at, at) }
+
 func (h *history) addStop(host int, from, to time.Time, inTime bool, exitStatus string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -68,7 +68,11 @@
 	var callers sync.WaitGroup
 	dep.startCallers(calling, &callers, callersPerHost)
 
-	injector := &faultInjector{deployment: dep, random: rand.New(rand.NewPCG(options.Seed, 1))}
+	injector := &faultInjector{
+		deployment: dep,
+		random:     rand.New(rand.NewPCG(options.Seed, 1)),
+		outages:    rand.New(rand.NewPCG(options.Seed, 2)),
+	}
 	injector.run(ctx, options.FaultDuration)
 	dep.logf("all faults are over")
 	flow.Sleep(ctx, settleTime)
