Requests run on a network in memory, too

Change: the connections of offers and those to the backend server can be opened by a flow.Connector, as those of followers are. No decision changes.

--- a/internal/connection/httpdialer/httpdialer.go
+++ b/internal/connection/httpdialer/httpdialer.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
 const (
@@ -25,29 +26,35 @@
 	keepAliveCount    = 3
 )
 
-// Dialer opens TCP connections. It is safe for concurrent use.
+// Dialer opens connections. It is safe for concurrent use.
 type Dialer struct {
-	dialer net.Dialer
+	timeout   time.Duration
+	connector flow.Connector
 }
 
-// New returns a Dialer that bounds opening a connection by the timeout.
-func New(timeout time.Duration) *Dialer {
-	return &Dialer{dialer: net.Dialer{
-		Timeout: timeout,
-		Control: control,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-	}}
+// New returns a Dialer that bounds opening a connection by the timeout. The connector opens
+// it; if that is nil, it is a TCP connection.
+func New(timeout time.Duration, connector flow.Connector) *Dialer {
+	if connector == nil {
+		connector = &net.Dialer{
+			Control: control,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    keepAliveCount,
+			},
+		}
+	}
+	return &Dialer{timeout: timeout, connector: connector}
 }
 
 // DialContext opens a connection that can be sealed. It has the signature that
 // http.Transport needs.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.dialer.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	conn, err := d.connector.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/transporter/client.go
+++ b/internal/connection/transporter/client.go
@@ -69,9 +69,10 @@
 	since time.Time
 }
 
-// NewClient returns a Client that opens connections with the given options.
-func NewClient(options framer.Options) *Client {
-	return &Client{options: options, dialer: httpdialer.New(dialTimeout), idle: map[string][]idleConn{}}
+// NewClient returns a Client with the given options for its connections, which the connector
+// opens. If that is nil, they are TCP connections.
+func NewClient(options framer.Options, connector flow.Connector) *Client {
+	return &Client{options: options, dialer: httpdialer.New(dialTimeout, connector), idle: map[string][]idleConn{}}
 }
 
 // Attempt is a request that was granted a slot at a backend server. It holds a connection
--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -100,7 +100,7 @@
 	is := is.New(t)
 	executor := &stubExecutor{}
 	address, connections := serve(t, executor)
-	client := transporter.NewClient(options)
+	client := transporter.NewClient(options, nil)
 	for range 3 {
 		attempt, err := client.Offer(context.Background(), address, &transporter.Offer{ID: "1"}, func() {})
 		is.NoErr(err)
@@ -119,7 +119,7 @@
 	is := is.New(t)
 	executor := &stubExecutor{admit: func(context.Context, func()) error { return refuse(flow.ReasonBusy) }}
 	address, connections := serve(t, executor)
-	client := transporter.NewClient(options)
+	client := transporter.NewClient(options, nil)
 	for range 2 {
 		_, err := client.Offer(context.Background(), address, &transporter.Offer{ID: "1"}, func() {})
 		var refused *transporter.RefusedError
@@ -145,7 +145,7 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 			defer cancel()
-			_, err := transporter.NewClient(options).Offer(ctx, address, &transporter.Offer{}, func() {})
+			_, err := transporter.NewClient(options, nil).Offer(ctx, address, &transporter.Offer{}, func() {})
 			var refused *transporter.RefusedError
 			is.New(t).True(errors.As(err, &refused))
 			is.New(t).True(refused.Refusal.NotRun())
@@ -156,7 +156,7 @@
 			}
 		},
 		"attempt is abandoned after the grant": func(t *testing.T, executor *stubExecutor, address string) {
-			attempt, err := transporter.NewClient(options).Offer(context.Background(), address, &transporter.Offer{}, func() {})
+			attempt, err := transporter.NewClient(options, nil).Offer(context.Background(), address, &transporter.Offer{}, func() {})
 			is.New(t).NoErr(err)
 			attempt.Abandon()
 			for began := time.Now(); executor.released.Load() == 0; time.Sleep(time.Millisecond) {
@@ -171,7 +171,7 @@
 				return refuse(flow.ReasonCancelled)
 			}
 			began := time.Now()
-			_, err := transporter.NewClient(options).Offer(context.Background(), address, &transporter.Offer{}, func() {})
+			_, err := transporter.NewClient(options, nil).Offer(context.Background(), address, &transporter.Offer{}, func() {})
 			var refused *transporter.RefusedError
 			is.New(t).True(errors.As(err, &refused))
 			is.New(t).True(refused.Load == nil)
@@ -200,7 +200,7 @@
 	}}
 	address, _ := serve(t, executor)
 	ctx, cancel := context.WithCancel(context.Background())
-	attempt, err := transporter.NewClient(options).Offer(ctx, address, &transporter.Offer{}, func() {})
+	attempt, err := transporter.NewClient(options, nil).Offer(ctx, address, &transporter.Offer{}, func() {})
 	is.NoErr(err)
 	time.AfterFunc(30*time.Millisecond, cancel)
 	_, err = attempt.Run(ctx, &transporter.Request{})
@@ -220,7 +220,7 @@
 	is := is.New(t)
 	address, _ := serve(t, &stubExecutor{})
 	ctx, cancel := context.WithCancel(context.Background())
-	attempt, err := transporter.NewClient(options).Offer(ctx, address, &transporter.Offer{}, func() {})
+	attempt, err := transporter.NewClient(options, nil).Offer(ctx, address, &transporter.Offer{}, func() {})
 	is.NoErr(err)
 	attempt.SetContext(context.Background())
 	cancel()
@@ -235,7 +235,7 @@
 		answer.Body = io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
 		return answer, nil
 	}})
-	attempt, err := transporter.NewClient(options).Offer(context.Background(), address, &transporter.Offer{}, func() {})
+	attempt, err := transporter.NewClient(options, nil).Offer(context.Background(), address, &transporter.Offer{}, func() {})
 	is.NoErr(err)
 	answer, err := attempt.Run(context.Background(), &transporter.Request{})
 	is.NoErr(err)
@@ -261,7 +261,7 @@
 	old := &transporter.Server{Options: options, Executor: &stubExecutor{}, Log: logr.Discard()}
 	ended := make(chan struct{})
 	go func() { _ = old.Serve(ctx, listener); close(ended) }()
-	client := transporter.NewClient(options)
+	client := transporter.NewClient(options, nil)
 	attempt, err := client.Offer(context.Background(), address, &transporter.Offer{}, func() {})
 	is.NoErr(err)
 	answer, err := attempt.Run(context.Background(), &transporter.Request{})
@@ -311,7 +311,7 @@
 			_, err = conn.Read()
 			is.True(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
 
-			attempt, err := transporter.NewClient(large).Offer(t.Context(), listener.Addr().String(), &transporter.Offer{ID: "1"}, func() {})
+			attempt, err := transporter.NewClient(large, nil).Offer(t.Context(), listener.Addr().String(), &transporter.Offer{ID: "1"}, func() {})
 			is.NoErr(err)
 			answer, err := attempt.Run(t.Context(), &transporter.Request{Body: []byte("body")})
 			is.NoErr(err)
@@ -343,7 +343,7 @@
 			panics.Store(true)
 			executor := tc.executor(panics)
 			address, _ := serve(t, executor)
-			client := transporter.NewClient(options)
+			client := transporter.NewClient(options, nil)
 			is.True(offerAndRun(t, client, address) != nil)
 			is.Equal(executor.released.Load(), tc.released)
 			is.NoErr(offerAndRun(t, client, address))
@@ -426,7 +426,7 @@
 			}}
 			target, _ := serve(t, executor)
 			address, paused := startPausingRelay(t, target)
-			attempt, err := transporter.NewClient(options).Offer(t.Context(), address, &transporter.Offer{ID: "1"}, func() {})
+			attempt, err := transporter.NewClient(options, nil).Offer(t.Context(), address, &transporter.Offer{ID: "1"}, func() {})
 			is.NoErr(err)
 			attempt.Patient = patient
 			time.AfterFunc(100*time.Millisecond, func() { paused.Store(true) })
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -175,7 +175,7 @@
 	// watches and calls use separate connections.
 	watchDialer, callDialer := dialer.New(control, nil), dialer.New(control, nil)
 	s.dialers = []*dialer.Dialer{watchDialer, callDialer}
-	s.offerClient = transporter.NewClient(data)
+	s.offerClient = transporter.NewClient(data, nil)
 	s.follower = follower.New(follower.Parts{
 		Host:     host,
 		Zone:     settings.AvailabilityZone,
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -175,7 +175,7 @@
 		Host: "127.0.0.1", Zone: "a", Service: func() string { return "ledger" }, OfferPort: port, HeaderNames: names,
 		Clock: flow.NewMonotonicClock(), Catalog: f.catalog.Load,
 		ProofAge: func() time.Duration { return f.proofAge }, MaxProofAge: time.Minute,
-		Transporter: transporter.NewClient(options), Allowance: allowance{f}, Observer: discardObserver{},
+		Transporter: transporter.NewClient(options, nil), Allowance: allowance{f}, Observer: discardObserver{},
 		CallFailed: func() { f.callFailed++ },
 		RetryShare: func() float64 { return f.retryShare },
 		RetryBudget: func(daemons int) retrier.Options {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -60,13 +60,14 @@
 
 // Parts are the components and settings that an Executor works with.
 type Parts struct {
-	Host     string // named as peer in refusals
-	Address  string // of the backend server
-	Names    flow.HeaderNames
-	Clock    flow.Clock
-	Catalog  func() *cataloger.Catalog
-	Observer Observer
-	Log      logr.Logger
+	Host      string         // named as peer in refusals
+	Address   string         // of the backend server
+	Connector flow.Connector // of connections to it; nil for TCP
+	Names     flow.HeaderNames
+	Clock     flow.Clock
+	Catalog   func() *cataloger.Catalog
+	Observer  Observer
+	Log       logr.Logger
 }
 
 // Executor admits and runs requests. It is safe for concurrent use.
@@ -99,7 +100,7 @@
 	return &Executor{
 		Parts: parts,
 		transport: &http.Transport{
-			DialContext:         httpdialer.New(dialTimeout).DialContext,
+			DialContext:         httpdialer.New(dialTimeout, parts.Connector).DialContext,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     idleTimeout,
--- a/internal/standin/linker/end.go
+++ b/internal/standin/linker/end.go
@@ -28,6 +28,7 @@
 	wake chan struct{} // the reader looks again
 
 	mu       sync.Mutex
+	resets   bool // Close resets the connection
 	inbound  []segment
 	failure  error // of all further calls
 	deadline time.Time
@@ -145,10 +146,23 @@
 }
 
 // Close implements net.Conn.
-func (e *end) Close() error { return e.closeWith(io.EOF) }
+func (e *end) Close() error {
+	e.mu.Lock()
+	resets := e.resets
+	e.mu.Unlock()
+	if resets {
+		return e.closeWith(syscall.ECONNRESET)
+	}
+	return e.closeWith(io.EOF)
+}
 
-// Abort closes the end and resets the connection.
-func (e *end) Abort() { _ = e.closeWith(syscall.ECONNRESET) }
+// SetLinger makes Close reset the connection if the time is 0, as net.TCPConn does.
+func (e *end) SetLinger(seconds int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resets = seconds == 0
+	return nil
+}
 
 func (e *end) closeWith(err error) error {
 	e.mu.Lock()
