An answer of unknown length that breaks off never looks whole

Cause: such an answer is passed on while it comes. It was written without a length and without chunks, which net/http marks by "Connection: close" in the head only; the connection was not closed after it, and when it broke off it was closed in order, which is what marks the end of a whole one.

Change: it goes in chunks to callers of HTTP/1.1, without the last chunk if it breaks off. To callers of HTTP/1.0 it ends with the connection, which is reset if it breaks off.

--- a/internal/connection/pipeliner/pipeliner.go
+++ b/internal/connection/pipeliner/pipeliner.go
@@ -352,12 +352,39 @@
 	response.ProtoMajor, response.ProtoMinor = 1, 1
 	response.Request = ex.request
 	response.Close = response.Close || ex.last || c.endsNow()
+	untilClose := markEnd(response)
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	writer := bufio.NewWriterSize(c.raw, 4096)
-	if err := response.Write(writer); err != nil {
+	err := response.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil && untilClose {
+		c.resetOnClose()
+	}
+	return err == nil
+}
+
+// markEnd makes the end of a body of unknown length recognizable, by chunks or, for callers
+// that do not know these, by the end of the connection. It reports whether it is the latter.
+func markEnd(response *http.Response) (untilClose bool) {
+	if response.ContentLength >= 0 || response.Body == nil || response.Body == http.NoBody {
+		return false
+	}
+	if response.Request != nil && response.Request.ProtoAtLeast(1, 1) {
+		response.TransferEncoding = []string{"chunked"}
 		return false
 	}
-	return writer.Flush() == nil
+	response.Close = true
+	return true
+}
+
+// resetOnClose makes the close of the connection a reset, so that a caller does not take it
+// for the end of a body.
+func (c *conn) resetOnClose() {
+	if resetter, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = resetter.SetLinger(0)
+	}
 }
 
 // linger closes the connection for writing and lets readRequests read on until the caller
