Test: followers on loopback do not share ports with outgoing connections

Cause: the peer port was a free one of one host, which an outgoing connection of another host's address, or of another case, may have in use. Change: the ports of deployments count up, below the range of outgoing connections. The checks are the same.

--- a/internal/process/follower/outage_test.go
+++ b/internal/process/follower/outage_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,10 @@
 	"b": {"127.0.44.4", "127.0.44.5"},
 }
 
+// lastPeerPort is the peer port of the newest deployment, below those that the system gives to
+// outgoing connections: these have the addresses of the hosts as well.
+var lastPeerPort atomic.Int32
+
 // followers is a deployment of followers around a store.
 type followers struct {
 	store     *emulator.Store
@@ -55,7 +61,7 @@
 	t.Cleanup(f.store.Close)
 	links, err := interrupter.New(t.Context(), interrupter.Options{Seed: 1})
 	is.NoErr(err)
-	peerPort := "0"
+	peerPort := strconv.Itoa(23_000 + int(lastPeerPort.Add(1)))
 	for zone, hosts := range zonesOfHosts {
 		for _, host := range hosts {
 			f.store.PutServer(serverOf(host, zone))
@@ -64,7 +70,6 @@
 			is.NoErr(err)
 			f.peerLink[host], err = links.Add(interrupter.LinkOptions{Name: "peer-" + host, Address: net.JoinHostPort(host, peerPort), Target: socket.Addr().String()})
 			is.NoErr(err)
-			_, peerPort, _ = net.SplitHostPort(f.peerLink[host].Addr())
 			f.storeLink[host], err = links.Add(interrupter.LinkOptions{Name: "store-" + host, Address: net.JoinHostPort(host, "0"), Target: storeSocket.Addr().String()})
 			is.NoErr(err)
 			clock := flow.NewMonotonicClock()
