Proofs do not become younger when hosts relay them

Cause: an answer to a fetch that had waited its 0.4 s gave the age of the proof at the begin of the wait, and the requester added the time since its request, but 0.2 s at most. So each relay after a full wait made a proof 0.2 s younger, and one that was held up on its way made it younger by what exceeded 0.2 s.

Change: the age is that at the answer; the answer says how long the request was held, and the requester adds all other time since the request.

--- a/internal/process/follower/cut_test.go
+++ b/internal/process/follower/cut_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/version/ranker"
+	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
 // readers returns the hosts of a zone in the order in which they read the store.
@@ -128,3 +129,58 @@
 		})
 	}
 }
+
+// TestRelayedProofsDoNotBecomeYounger guards against a zone that acts on as the owner of rates
+// while it is cut off, since its hosts take the proofs that they relay to each other for newer
+// than they are.
+func TestRelayedProofsDoNotBecomeYounger(t *testing.T) {
+	const precision = 10 * time.Millisecond
+	cases := map[string]struct{ hosts, stall int }{ // the longest stall between the hosts in ms
+		"two hosts":               {2, 1},
+		"two hosts with stalls":   {2, 300},
+		"a zone":                  {7, 1},
+		"a zone with stalls":      {7, 300},
+		"a zone, and long stalls": {7, 550},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			for seed := range uint64(2) {
+				runFleet(t, smallFleet, seed, func(t *testing.T, f *fleet) {
+					zone := f.readers("zone-0")[:tc.hosts]
+					others := []string{storeHost}
+					for _, h := range f.hosts {
+						if !slices.Contains(zone, h) {
+							others = append(others, h.ip)
+						}
+					}
+					f.sleepUntil(time.Now().Add(time.Hour), 0, 1000)
+					f.network.Cut(addresses(zone), others, true)
+					cutAt := time.Now()
+					f.running.Go(func() {
+						for f.ctx.Err() == nil {
+							f.network.Cut(addresses(zone), addresses(zone), true)
+							f.sleepUntil(time.Now().Add(time.Hour), tc.stall*2/3, tc.stall+1)
+							f.network.Cut(addresses(zone), addresses(zone), false)
+							f.sleepUntil(time.Now().Add(time.Hour), 20, 300)
+						}
+					})
+					younger, inTouchFor := time.Duration(0), time.Duration(0)
+					for time.Since(cutAt) < 8*time.Second {
+						time.Sleep(20 * time.Millisecond)
+						for _, h := range zone {
+							one := h.running()
+							younger = max(younger, time.Since(cutAt)-one.Age())
+							if one.InTouch() {
+								inTouchFor = time.Since(cutAt)
+							}
+						}
+					}
+					if younger > precision || inTouchFor > flow.OwnerLease+precision {
+						t.Errorf("seed %d: a proof was %v younger than the cut, a host in touch for %v", seed, younger, inTouchFor)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -357,13 +357,13 @@
 	if err := request.(listener.Request).Decode(&fetch); err != nil {
 		return nil, err
 	}
-	received, wasLost := f.Clock.Now(), false
+	received, wasLost, over := f.Clock.Now(), false, false
 	wait := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, peerWatchWait))
 	defer wait.Stop()
 	for {
 		f.mu.Lock()
-		changed := f.changed
-		update := f.state.Since(f.Clock.Now(), fetch.After)
+		changed, now := f.changed, f.Clock.Now()
+		update := f.state.Since(now, fetch.After)
 		update.SourceLost = f.reading == readingLost
 		f.mu.Unlock()
 		regained := wasLost && !update.SourceLost
@@ -371,13 +371,14 @@
 		if update.Revision == 0 {
 			return nil, errNothingKnown
 		}
-		if update.Revision > fetch.After || regained || fetch.hasNews(update, f.Clock.Now().Sub(received)) {
-			return newFetchAnswer(update, fetch.Large), nil
+		held := now.Sub(received)
+		if over || update.Revision > fetch.After || regained || fetch.hasNews(update, held) {
+			return newFetchAnswer(update, fetch.Large, held), nil
 		}
 		select {
 		case <-changed:
 		case <-wait.C:
-			return newFetchAnswer(update, fetch.Large), nil
+			over = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -394,11 +395,13 @@
 	return age > staleAge && update.Age <= staleAge
 }
 
-// newFetchAnswer returns the answer with an update. A configuration is only
-// announced unless the request asked for it.
-func newFetchAnswer(update flow.Update, large bool) *FetchAnswer {
+// newFetchAnswer returns the answer with an update to a request that was held for a time. A
+// configuration is only announced unless the request asked for it.
+func newFetchAnswer(update flow.Update, large bool, held time.Duration) *FetchAnswer {
+	answer := &FetchAnswer{Update: update, HeldMs: held.Milliseconds()}
 	if hasConfiguration(update) && !large {
-		return &FetchAnswer{Update: flow.Update{Age: update.Age, Unbroken: update.Unbroken, SourceLost: update.SourceLost}, Large: true}
+		answer.Update = flow.Update{Age: update.Age, Unbroken: update.Unbroken, SourceLost: update.SourceLost}
+		answer.Large = true
 	}
-	return &FetchAnswer{Update: update}
+	return answer
 }
--- a/internal/process/follower/pack_test.go
+++ b/internal/process/follower/pack_test.go
@@ -43,17 +43,17 @@
 	is := is.New(t)
 	update := flow.Update{Revision: 5, Changes: []flow.Change{{Key: "c", Revision: 5, Configuration: manyRoutes()}}}
 	is.NoErr(addBothForms(update))
-	announced := newFetchAnswer(update, false)
+	announced := newFetchAnswer(update, false, 0)
 	is.True(announced.Large)
 	is.Equal(len(announced.Update.Changes), 0)
 	is.Equal(announced.Update.Revision, flow.Revision(0)) // the announcement proves no revision
-	sent, err := msgpack.Marshal(newFetchAnswer(update, true))
+	sent, err := msgpack.Marshal(newFetchAnswer(update, true, 0))
 	is.NoErr(err)
 	var answer FetchAnswer
 	is.NoErr(msgpack.Unmarshal(sent, &answer))
 	is.NoErr(addBothForms(answer.Update))
 	is.Equal(answer.Update.Changes[0].Configuration, update.Changes[0].Configuration)
 	is.Equal(answer.Update.Changes[0].EncodedConfiguration, update.Changes[0].EncodedConfiguration)
-	small := newFetchAnswer(flow.Update{Revision: 6}, false)
+	small := newFetchAnswer(flow.Update{Revision: 6}, false, 0)
 	is.True(!small.Large)
 }
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -44,6 +44,14 @@
 type FetchAnswer struct {
 	Update flow.Update `msgpack:"u"`
 	Large  bool        `msgpack:"l,omitempty"` // there is a configuration, which must be requested
+	HeldMs int64       `msgpack:"h,omitempty"` // how long the peer held the request before it answered
+}
+
+// onTheWay returns the longest time that the answer can have been on its way, of the time since
+// the request was sent.
+func (a FetchAnswer) onTheWay(sinceRequest time.Duration) time.Duration {
+	held := time.Duration(a.HeldMs) * time.Millisecond
+	return max(sinceRequest-held, 0) + time.Millisecond // both are cut to milliseconds
 }
 
 // askPeers asks peers until ctx ends.
@@ -89,7 +97,6 @@
 	}
 	update := answer.Update
 	f.markPeerAnswered(selector, next.peer, update)
-	update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
 	f.apply(ctx, next.peer, update, coalesceDelay)
 	if lost := update.SourceLost && !next.waiting; !lost && f.Clock.Now().Sub(sentAt) < coalesceDelay {
 		flow.Sleep(ctx, coalesceDelay) // a peer that answers at once has not waited for changes
@@ -136,14 +143,11 @@
 // applies them.
 func (f *Follower) transfer(ctx context.Context, peer string, request FetchRequest) (flow.Update, error) {
 	request.Large = true
-	sentAt := f.Clock.Now()
 	answer, err := f.call(ctx, peer, request, configurationTimeout)
 	if err != nil {
 		return flow.Update{}, err
 	}
-	update := answer.Update
-	update.Age += f.Clock.Now().Sub(sentAt)
-	f.apply(ctx, peer, update, coalesceDelay)
+	f.apply(ctx, peer, answer.Update, coalesceDelay)
 	return answer.Update, nil
 }
 
@@ -169,7 +173,8 @@
 	selector.markCurrent(peer, f.hosts(true))
 }
 
-// call sends a fetch to a peer and waits for the answer.
+// call sends a fetch to a peer and waits for the answer. The age of its update is that at the
+// return.
 func (f *Follower) call(ctx context.Context, peer string, request FetchRequest, within time.Duration) (FetchAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
@@ -180,8 +185,12 @@
 	}
 	sentAt := f.Clock.Now()
 	err := connections.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
-	if err == nil && !answer.Large { // what is only announced is not known yet
+	if err != nil {
+		return FetchAnswer{}, err
+	}
+	answer.Update.Age += answer.onTheWay(f.Clock.Now().Sub(sentAt))
+	if !answer.Large { // what is only announced is not known yet
 		f.noteHeard(peer, sentAt)
 	}
-	return answer, err
+	return answer, nil
 }
--- a/internal/process/follower/touch.go
+++ b/internal/process/follower/touch.go
@@ -127,7 +127,6 @@
 			_, err = f.transfer(ctx, peer, request)
 		}
 	} else if err == nil {
-		answer.Update.Age += min(f.Clock.Now().Sub(sentAt), peerAnswerMargin)
 		f.apply(ctx, peer, answer.Update, 0)
 	}
 	if err == nil || ctx.Err() != nil {
