--- a/internal/connection/transporter/message.go
+++ b/internal/connection/transporter/message.go
@@ -40,11 +40,7 @@
 }
 
 // Load is the load of a backend server as its daemon reports it.
-type Load struct {
-	FreeSlots       int           `msgpack:"f"` // slots without a request
-	QueueWait       time.Duration `msgpack:"w"` // expected time in the queue for a new request
-	GrayProbability float64       `msgpack:"g"` // probability, from 0 to 1, that the server fails most requests
-}
+type Load = flow.ServerLoad
 
 // messageKind is the kind of a message.
 type messageKind uint8
--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -304,11 +304,10 @@
 }
 
 // UpdateLoad records the load that the daemon beside a server reported. The server
-// is reachable, so this ends any backoff. grayProbability is the probability, from 0 to
-// 1, that the server is gray.
-func (s *Selector) UpdateLoad(now flow.Time, server string, freeSlots int, queueWait time.Duration, grayProbability float64) {
+// is reachable, so this ends any backoff.
+func (s *Selector) UpdateLoad(now flow.Time, server string, load flow.ServerLoad) {
 	state := s.state(now, server)
-	state.reported, state.reportedAt, state.freeSlots, state.queueWait, state.grayProbability = true, now, freeSlots, queueWait, grayProbability
+	state.reported, state.reportedAt, state.freeSlots, state.queueWait, state.grayProbability = true, now, load.FreeSlots, load.QueueWait, load.GrayProbability
 	state.skipUntil, state.backoff = flow.Never, 0
 }
 
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -210,7 +210,7 @@
 // updateLoad records the load that a daemon reported for its server.
 func (d *Dispatcher) updateLoad(server *flow.ServerEntry, load transporter.Load) {
 	d.updateSelector(func(s *selector.Selector) {
-		s.UpdateLoad(d.Clock.Now(), server.ID, load.FreeSlots, load.QueueWait, load.GrayProbability)
+		s.UpdateLoad(d.Clock.Now(), server.ID, load)
 	})
 }
 
@@ -287,7 +287,7 @@
 		case flow.ReasonUnreachable:
 			s.MarkUnreachable(now, server.ID)
 		default:
-			s.UpdateLoad(now, server.ID, attempt.Load.FreeSlots, attempt.Load.QueueWait, attempt.Load.GrayProbability)
+			s.UpdateLoad(now, server.ID, attempt.Load)
 		}
 	})
 	d.Log.Info("attempt failed", "request", ex.id, "server", server.ID, "peer", refusal.Peer, "reason", string(refusal.Reason),
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -206,5 +206,7 @@
 // reportLoad passes the load of a server to the ingress of a request, as in the daemon's
 // responses.
 func (sim *simulation) reportLoad(now flow.Time, r *request, s *server) {
-	r.ingress.selector.UpdateLoad(now, s.entry.ID, s.queue.FreeSlots(), s.queue.ExpectedWait(), sim.grayProbability(now, s))
+	r.ingress.selector.UpdateLoad(now, s.entry.ID, flow.ServerLoad{
+		FreeSlots: s.queue.FreeSlots(), QueueWait: s.queue.ExpectedWait(), GrayProbability: sim.grayProbability(now, s),
+	})
 }
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -34,14 +34,15 @@
 type RouteRule struct {
 	Name          string            `msgpack:"n"`
 	Host          string            `msgpack:"h"`
-	PathPrefix    string            `msgpack:"p"` // begins and ends with a slash
-	Split         []WeightedService `msgpack:"s"` // at least one
-	Idempotent    bool              `msgpack:"i"` // requests may run more than once
-	Open          bool              `msgpack:"o"` // no key is needed
-	MaxAttempts   int               `msgpack:"a"` // of one request that may run, the first included
-	Timeout       time.Duration     `msgpack:"t"` // maximum time until the caller has a response
-	TargetLatency time.Duration     `msgpack:"l"` // latency that responses should not exceed; slower ones, up to Timeout, are worth less
-	Priority      int               `msgpack:"u"` // 0 is the highest
+	PathPrefix    string            `msgpack:"p"`           // begins and ends with a slash
+	Split         []WeightedService `msgpack:"s"`           // at least one
+	Idempotent    bool              `msgpack:"i"`           // requests may run more than once
+	Open          bool              `msgpack:"o"`           // no key is needed
+	MaxAttempts   int               `msgpack:"a"`           // of one request that may run, the first included
+	Timeout       time.Duration     `msgpack:"t"`           // maximum time until the caller has a response
+	TargetLatency time.Duration     `msgpack:"l"`           // latency that responses should not exceed; slower ones, up to Timeout, are worth less
+	Priority      int               `msgpack:"u"`           // 0 is the highest
+	Regions       []string          `msgpack:"g,omitempty"` // in which requests may be handled; all if empty
 }
 
 // WeightedService is a service that gets a share of a route's requests, in
@@ -64,9 +65,10 @@
 type CustomerRule struct {
 	Name      string   `msgpack:"n"`
 	Keys      []string `msgpack:"k"`
-	Priority  int      `msgpack:"p"` // overrides that of the route; negative if it does not
-	PerSecond float64  `msgpack:"r"` // requests per second over all hosts together; 0 for no limit
-	Burst     float64  `msgpack:"b"` // requests that may come at once
+	Priority  int      `msgpack:"p"`           // overrides that of the route; negative if it does not
+	PerSecond float64  `msgpack:"r"`           // requests per second over all hosts together; 0 for no limit
+	Burst     float64  `msgpack:"b"`           // requests that may come at once
+	Regions   []string `msgpack:"g,omitempty"` // in which its requests may be handled; all if empty
 }
 
 // CallerLimits limit what a caller may send and how long it may take.
