--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -43,6 +43,7 @@
 	{"the platform could not be read", "a read of the store that began `waited-ms` before has failed, or is late and goes on (`no response yet`; only the first late one is logged). The store is read again after `retry-ms`, unless two reads are in progress; other hosts are asked meanwhile", []string{"cause", "waited-ms", "retry-ms", "revision", "version", "age-ms"}},
 	{"source changed", "another source is followed from now on: a host, the `platform` alone, or `others`, which are hosts in turn while the store answers neither this daemon nor the readers of its zone", []string{"source", "source-before", "revision", "version", "age-ms"}},
 	{"store history is no longer available; reading all items", "the store no longer has the revision from which the watch continues", []string{"step", "peer", "revision"}},
+	{"store item holds an unknown value", "a route is of a kind that this version does not know", []string{"step", "revision", "cause"}},
 	{"unreadable store item ignored", "an item that another program wrote to the store cannot be decoded", []string{"step", "revision", "cause"}},
 	{"owner does not answer", "the owner of a customer's rate, which is limited without it meanwhile, or of a service's retries could not be reached", []string{"step", "peer", "thing", "cause"}},
 	{"out of touch; this daemon does not grant as an owner", "neither the store nor most other hosts have answered; another daemon may have replaced this one as the owner of customers' rates and services' retries", nil},
