Keep requests in the allowed regions of their routes and customers

Allowed regions were decoded and not applied. The ingress plans no server outside, and checks again before each offer and before the body is sent; the daemon beside the backend server checks offers, waiting offers and runs by its own configuration. A request that no allowed region can serve gets an early 503 region-unavailable with a Retry-After, before it takes a token.

The service of a split route is now drawn before the token is taken, since the regions depend on it.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -43,7 +43,8 @@
 	Random   *rand.Rand // used only by the goroutine that reads the platform
 	// ApplyWithin is the time within which a change must be in force everywhere.
 	ApplyWithin time.Duration
-	FirstStart  bool // the whole deployment starts for the first time
+	FirstStart  bool              // the whole deployment starts for the first time
+	Regions     map[string]string // region of each availability zone; empty if all are in one
 	OnChange    func(*cataloger.Catalog)
 }
 
@@ -325,6 +326,7 @@
 	defer f.mu.Unlock()
 	configuration, servers, zonesOut := f.state.InForce()
 	catalog := cataloger.Build(f.state.Revision(), configuration, servers, zonesOut)
+	catalog.SetRegions(f.Regions)
 	f.catalog.Store(catalog)
 	return catalog
 }
--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -15,6 +15,7 @@
 package selector
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -335,6 +336,21 @@
 	state.reported, state.reportedAt, state.freeSlots = true, now, 0
 }
 
+// Unreachable reports whether all of the given servers are skipped because their daemons
+// could not be reached, are stopping or are not running, or because the servers have ended.
+// If so, it returns the time until the first of them is tried again.
+func (s *Selector) Unreachable(now flow.Time, servers []*flow.ServerEntry) (wait time.Duration, all bool) {
+	first := flow.Time(math.MaxInt64)
+	for _, server := range servers {
+		until := s.state(now, server.ID).skipUntil
+		if !now.Before(until) {
+			return 0, false
+		}
+		first = min(first, until)
+	}
+	return first.Sub(now), len(servers) > 0
+}
+
 // BeginRequest counts an offer or request to a server as in flight. Each call needs
 // one call of EndRequest.
 func (s *Selector) BeginRequest(now flow.Time, server string) { s.state(now, server).inFlight++ }
--- a/internal/process/supervisor/pages.go
+++ b/internal/process/supervisor/pages.go
@@ -14,6 +14,7 @@
 type Status struct {
 	Host       string          `json:"host"`
 	Zone       string          `json:"availability-zone"`
+	Region     string          `json:"region,omitempty"`
 	Service    string          `json:"service"`
 	Revision   uint64          `json:"revision"`
 	Version    uint64          `json:"version"`
@@ -29,6 +30,7 @@
 	return Status{
 		Host:       s.settings.Host,
 		Zone:       s.settings.AvailabilityZone,
+		Region:     s.settings.Sidecar.Zones[s.settings.AvailabilityZone],
 		Service:    *s.service.Load(),
 		Revision:   uint64(catalog.Revision),
 		Version:    catalog.Version,
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -78,6 +78,8 @@
 	metrics     *reporter.Metrics
 	stopping    atomic.Bool
 
+	regionsMissed atomic.Bool // it was logged that allowed regions have no effect
+
 	listeners  map[string]net.Listener // by setting name
 	goroutines sync.WaitGroup
 }
@@ -190,6 +192,7 @@
 
 		ApplyWithin: settings.Sidecar.ApplyWithin,
 		FirstStart:  settings.Sidecar.FirstStart == "true",
+		Regions:     settings.Sidecar.Zones,
 	})
 	s.allowance = newAllowance(allowanceParts{
 		host:      host,
@@ -249,6 +252,9 @@
 // applyCatalog hands a new catalog to the components that keep state derived
 // from it.
 func (s *Sidecar) applyCatalog(catalog *cataloger.Catalog) {
+	if !catalog.HasRegions() && catalog.RestrictsRegions() && !s.regionsMissed.Swap(true) {
+		s.log.Info("allowed regions have no effect: the settings name no regions", "version", catalog.Version)
+	}
 	s.executor.ApplyCatalog(catalog)
 	s.allowance.refresh(catalog)
 }
@@ -304,7 +310,7 @@
 	serve(func() error { return readiness.Serve(s.listeners[readinessAddress]) })
 	serve(func() error { return operators.Serve(s.listeners[operatorAddress]) })
 	s.log.Info("started", "service", s.settings.Sidecar.Service, "zone", s.settings.AvailabilityZone,
-		"backend-server", s.settings.Sidecar.BackendServer, "store", s.settings.Sidecar.Store)
+		"region", s.settings.Sidecar.Zones[s.settings.AvailabilityZone], "backend-server", s.settings.Sidecar.BackendServer, "store", s.settings.Sidecar.Store)
 
 	var err error
 	select {
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -68,7 +68,7 @@
 	if d.stopped.Err() != nil {
 		return d.newRefusal(flow.ReasonStopping, stepDispatch, "the daemon stops before the request has a slot")
 	}
-	return d.newRefusal(flow.ReasonNoCapacity, stepDispatch, "no backend server takes the request")
+	return d.noServerRefusal(ex)
 }
 
 func discard(response *http.Response) {
@@ -111,9 +111,16 @@
 		if !search.RecordPlan(plan) {
 			return nil, nil
 		}
-		if attempt, server := d.offerInTurn(ctx, ex, plan); attempt != nil {
+		attempt, server := d.offerInTurn(ctx, ex, plan)
+		if attempt == nil {
+			continue
+		}
+		if d.mayGoTo(ex, server) {
 			return attempt, server
 		}
+		// The allowed regions have changed since the offer.
+		attempt.Abandon()
+		d.countInFlight(server, -1)
 	}
 }
 
@@ -132,7 +139,8 @@
 func (d *Dispatcher) plan(ex *exchange, tried map[string]bool) []selector.Offer {
 	catalog := d.Catalog()
 	var candidates []selector.Candidate
-	for _, server := range catalog.Servers(ex.service) {
+	allowed, _ := d.allowedServers(ex, catalog)
+	for _, server := range allowed {
 		candidates = append(candidates, selector.Candidate{Server: server, SameZone: server.Zone == d.Zone})
 	}
 	d.mu.Lock()
@@ -293,7 +301,7 @@
 	d.Log.Info("attempt failed", "request", ex.id, "server", server.ID, "peer", refusal.Peer, "reason", string(refusal.Reason),
 		"cause", refusal.Detail, "reached", ex.possibleRuns, "left-ms", ex.deadline.Sub(now).Milliseconds())
 	notRun := refusal.NotRun()
-	return attemptResult{refusal: refusal, mayHaveRun: !notRun, reachedServer: refusal.Reason != flow.ReasonUnreachable}
+	return attemptResult{refusal: refusal, mayHaveRun: !notRun, reachedServer: refusal.Reason != flow.ReasonUnreachable && refusal.Reason != flow.ReasonRegionUnavailable}
 }
 
 // readResponse reads a response up to responder.BufferLimit. A longer one, or one of
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -1,7 +1,7 @@
 // Package dispatcher handles the requests of callers at the ingress.
 //
 // The steps of a request are, in order: find its route, authenticate the customer
-// by the key, take a token of the customer's rate limit, offer the request to
+// by the key, check that a server is in a region in which it may be handled, take a token of the customer's rate limit, offer the request to
 // backend servers until one grants a slot, run it there, and return the response.
 // A request that certainly did not run may be offered to another server. A request
 // that may have run is retried only if it is idempotent, within the maximum number
@@ -53,6 +53,7 @@
 const (
 	stepRoute        = flow.Step("route")
 	stepAuthenticate = flow.Step("authenticate")
+	stepRegions      = flow.Step("check-regions")
 	stepTakeToken    = flow.Step("draw")
 	stepDispatch     = flow.Step("dispatch")
 )
@@ -216,10 +217,13 @@
 		return refusal
 	}
 	d.setDeadline(ex)
+	ex.service = d.chooseService(ex.route)
+	if refusal := d.checkRegions(ex); refusal != nil {
+		return refusal
+	}
 	if refusal := d.takeToken(ctx, ex); refusal != nil {
 		return refusal
 	}
-	ex.service = d.chooseService(ex.route)
 	return d.dispatch(ctx, ex)
 }
 
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -44,6 +44,7 @@
 	wait     bool        // the request waits for a slot until its context ends
 	gray     float64     // reported probability that the server fails most of its work
 	delay    time.Duration
+	onAdmit  func() // called before an offer is granted; may be nil
 
 	mu       sync.Mutex
 	offers   []transporter.Offer
@@ -66,6 +67,9 @@
 	if e.refuse != "" {
 		return nil, &flow.Refusal{Reason: e.refuse}
 	}
+	if e.onAdmit != nil {
+		e.onAdmit()
+	}
 	return testSlot(e), nil
 }
 
--- a/internal/request/dispatcher/offer.go
+++ b/internal/request/dispatcher/offer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
@@ -37,6 +38,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		for next < len(plan) && !d.mayGoTo(ex, plan[next].Server) {
+			plan = slices.Delete(plan, next, next+1)
+		}
 		mayOffer := next < len(plan) && offerCtx.Err() == nil && ex.deadline.Sub(d.Clock.Now()) >= minTimeLeft
 		if pending == 0 && !mayOffer {
 			return nil, nil
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -90,6 +90,7 @@
 
 // waiter is an offer that is waiting for a slot.
 type waiter struct {
+	offer   *transporter.Offer
 	decided chan *flow.Refusal // receives nil once the offer has a slot
 	forced  bool               // keeps waiting if the server becomes suspected
 }
@@ -163,6 +164,13 @@
 	if !catalog.AcceptsNewRequests(entry.ID, entry.Address) {
 		e.refuseAllWaiting(e.leavingRefusal())
 	}
+	e.refuseWaiting(func(w waiter) bool { return !catalog.AllowsRequest(entry.Zone, w.offer.Route, w.offer.Customer) }, e.regionRefusal(stepAdmit))
+}
+
+// regionRefusal returns the refusal of a request that may not be handled in this host's
+// region. The daemon that sent it has an older configuration.
+func (e *Executor) regionRefusal(step flow.Step) *flow.Refusal {
+	return e.newRefusal(flow.ReasonRegionUnavailable, step, "the request may not be handled in this region")
 }
 
 // applyEntry applies a catalog entry to the state. A new backend server starts
@@ -253,7 +261,7 @@
 	case scheduler.DecisionQueued:
 	}
 	decided := make(chan *flow.Refusal, 1)
-	e.waiters[id] = waiter{decided: decided, forced: offer.Forced}
+	e.waiters[id] = waiter{offer: offer, decided: decided, forced: offer.Forced}
 	e.grantSlots()
 	return id, decided, nil
 }
@@ -276,6 +284,8 @@
 		return e.newRefusal(flow.ReasonLeaving, stepAdmit, "the backend server is not listed on this host")
 	case !catalog.AcceptsNewRequests(entry.ID, entry.Address):
 		return e.leavingRefusal()
+	case !catalog.AllowsRequest(entry.Zone, offer.Route, offer.Customer):
+		return e.regionRefusal(stepAdmit)
 	}
 	if e.server != entry.ID {
 		e.applyEntry(catalog, entry)
@@ -466,6 +476,11 @@
 		e.finish(s.id, 0)
 		return nil, e.newRefusal(flow.ReasonNoCapacity, stepRun, "no time is left")
 	}
+	catalog := e.Catalog()
+	if entry := catalog.ServerAt(e.Address); entry != nil && !catalog.AllowsRequest(entry.Zone, s.offer.Route, s.offer.Customer) {
+		e.finish(s.id, 0)
+		return nil, e.reportRefusal(s.offer, e.regionRefusal(stepRun))
+	}
 	response, outcome := e.send(ctx, s, request, left)
 	took := e.Clock.Now().Sub(began)
 	e.recordOutcome(s, outcome, took)
--- a/internal/version/cataloger/cataloger.go
+++ b/internal/version/cataloger/cataloger.go
@@ -32,6 +32,8 @@
 	ranking           *ranker.Ranking                // of hosts
 	zoneOfHost        map[string]string
 	zonesOutOfService map[string]bool
+	routeByName       map[string]*flow.RouteRule
+	regionOfZone      map[string]string // empty if all zones are in one region
 }
 
 // Build indexes a configuration, which may be nil, and the listed backend
@@ -48,6 +50,7 @@
 		byAddress:         map[string]*flow.ServerEntry{},
 		zoneOfHost:        map[string]string{},
 		zonesOutOfService: zonesOutOfService,
+		routeByName:       map[string]*flow.RouteRule{},
 	}
 	if configuration != nil {
 		c.indexConfiguration(configuration)
@@ -64,6 +67,7 @@
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		c.routes[route.Host] = append(c.routes[route.Host], route)
+		c.routeByName[route.Name] = route
 		for _, part := range route.Split {
 			c.routedServices[part.Service] = true
 		}
--- a/pkg/flow/outcome.go
+++ b/pkg/flow/outcome.go
@@ -48,6 +48,7 @@
 	ReasonRateUnavailable        Reason = "rate-unavailable"
 	ReasonNoLease                Reason = "no-lease"
 	ReasonNoCapacity             Reason = "no-capacity"
+	ReasonRegionUnavailable      Reason = "region-unavailable"
 	ReasonNoConfiguration        Reason = "no-configuration"
 	ReasonBusy                   Reason = "busy"
 	ReasonZoneOut                Reason = "zone-out"
@@ -114,6 +115,7 @@
 	{ReasonNoConfiguration, http.StatusServiceUnavailable, OutcomeNotRun, "The daemon has not learnt the configuration yet", "Repeat after the time in Retry-After."},
 	{ReasonBusy, http.StatusServiceUnavailable, OutcomeNotRun, "The backend server has no free slot", "Repeat the request."},
 	{ReasonNoCapacity, http.StatusServiceUnavailable, OutcomeNotRun, "No backend server can take the request", "Repeat after the time in Retry-After."},
+	{ReasonRegionUnavailable, http.StatusServiceUnavailable, OutcomeNotRun, "No backend server in an allowed region can be reached", "Repeat after the time in Retry-After; check the allowed regions of the route and the customer."},
 	{ReasonUnreachable, http.StatusServiceUnavailable, OutcomeNotRun, "No connection could be made", "Repeat after the time in Retry-After."},
 	{ReasonPermitInvalid, http.StatusForbidden, OutcomeNotRun, "The permit of a forwarded request is not valid", "Send requests to the callers' address of a daemon; check that all daemons share one secret."},
 	{ReasonPermitLate, http.StatusServiceUnavailable, OutcomeNotRun, "The permit of a forwarded request ran out", "Repeat the request."},
--- a/pkg/parser/settings_reference.go
+++ b/pkg/parser/settings_reference.go
@@ -67,6 +67,8 @@
 		return "at least one of " + allowedURL
 	case SettingSecret:
 		return "at least " + strconv.Itoa(MinSecretBytes) + " bytes"
+	case SettingTexts:
+		return allowedTextsByName
 	case SettingChoice:
 		return "`" + strings.Join(row.Choices, "`, `") + "`"
 	}
--- a/pkg/parser/settings_table.go
+++ b/pkg/parser/settings_table.go
@@ -25,6 +25,7 @@
 	SettingInteger     SettingType = "whole number"
 	SettingNumber      SettingType = "number"
 	SettingBytes       SettingType = "byte size"
+	SettingTexts       SettingType = "object of texts"
 )
 
 // SettingRow describes one setting. Default, Min and Max are written as in the
@@ -308,6 +309,8 @@
 		*target = d.duration(row.Name, tableDuration(row.Default), tableDuration(row.Min), tableDuration(row.Max))
 	case *float64:
 		*target = d.number(row.Name, tableNumber(row.Default), tableNumber(row.Min), tableNumber(row.Max))
+	case *map[string]string:
+		*target = d.textsByName(row.Name)
 	case *ByteSize:
 		*target = d.byteSize(row.Name, tableByteSize(row.Default), tableByteSize(row.Min), tableByteSize(row.Max))
 	}
--- a/pkg/parser/settings_test.go
+++ b/pkg/parser/settings_test.go
@@ -172,7 +172,7 @@
   "backend-server": "10.0.0.1:80", "caller-address": "10.0.0.1:81", "data-address": "10.0.0.1:82",
   "peer-address": "10.0.0.1:83", "operator-address": "10.0.0.1:84", "readiness-address": "10.0.0.1:85",
   "store": "10.0.0.9:80", "secret": "a secret of 16 bytes",
-  "retry-share": 0.2, "stop-grace": "6s",
+  "retry-share": 0.2, "stop-grace": "6s", "zones": { "a": "nairobi","b": "mombasa" },
 }`
 	cases := map[string]struct {
 		change func(string) string
@@ -184,6 +184,10 @@
 		"a time without unit":    {func(s string) string { return strings.Replace(s, "\"6s\"", "6", 1) }, "stop-grace"},
 		"a share above one":      {func(s string) string { return strings.Replace(s, "0.2", "1.2", 1) }, "retry-share"},
 		"no backend server":      {func(s string) string { return strings.Replace(s, "\"backend-server\": \"10.0.0.1:80\",", "", 1) }, "backend-server"},
+		"a zone in two regions":  {func(s string) string { return strings.Replace(s, `"b": "mombasa"`, `"a": "mombasa"`, 1) }, "zones"},
+		"a zone without region":  {func(s string) string { return strings.Replace(s, `"mombasa"`, `""`, 1) }, "zones"},
+		"zones as a text":        {func(s string) string { return strings.Replace(s, `{ "a": "nairobi","b": "mombasa" }`, `"a"`, 1) }, "zones"},
+		"no region at all":       {func(s string) string { return strings.Replace(s, `"a": "nairobi","b": "mombasa"`, "", 1) }, ""},
 		"a secret that is short": {func(s string) string { return strings.Replace(s, "a secret of 16 bytes", "short", 1) }, "secret"},
 	}
 	for name, tc := range cases {
@@ -197,6 +201,9 @@
 			}
 			is.Equal(settings.Sidecar.Service, "stock")
 			is.Equal(settings.Sidecar.RetryShare, 0.2)
+			if name == "valid" {
+				is.Equal(settings.Sidecar.Zones, map[string]string{"a": "nairobi", "b": "mombasa"})
+			}
 			is.Equal(settings.Sidecar.MaxProofAge, time.Duration(0)) // requests are served at any proof age
 		})
 	}
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -12,6 +12,10 @@
 	Store         string // address of the platform's store, ip:port
 	Readiness     string // address for the platform's readiness checks, ip:port
 
+	// Zones holds the region of each availability zone. Without it all zones are in one
+	// region.
+	Zones map[string]string
+
 	RetryShare  float64 // maximum ratio of retries to requests, over all daemons
 	RetrySlack  float64 // retries allowed in a window beyond RetryShare, over all daemons
 	RetryWindow time.Duration
@@ -40,6 +44,11 @@
 		Help:   "Availability zone of the host.",
 		target: func(s *Settings) any { return &s.AvailabilityZone },
 	},
+	{
+		Name: "zones", Type: SettingTexts,
+		Help:   "Region of each availability zone of the deployment. Without it, all zones are in one region, and allowed regions of routes and customers have no effect. A zone that is missing here is in no allowed region.",
+		target: func(s *Settings) any { return &s.Sidecar.Zones },
+	},
 	{
 		Name: "service", Type: SettingName, Required: true,
 		Help:   "Service of the backend server of the host. Its name is sent to the backend servers that run the host's requests.",
--- a/pkg/parser/value.go
+++ b/pkg/parser/value.go
@@ -48,6 +48,7 @@
 	allowedBindAddress = "an IP address with a port from 0 to 65535, such as 10.0.0.1:8080 or [fd00::1]:8080"
 	allowedURL         = "URLs of the form http://IP-ADDRESS:PORT"
 	allowedHash        = "64 lower-case hex digits, the SHA-256 of the key"
+	allowedTextsByName = "an object of distinct names with texts, each of 1 to 64 bytes"
 	allowedHeader      = "a header name of 1 to 64 characters"
 )
 
@@ -291,6 +292,32 @@
 	return shares
 }
 
+// textsByName decodes an optional object of texts.
+func (d *document) textsByName(name string) map[string]string {
+	found, ok := d.lookup(name)
+	if !ok {
+		return nil
+	}
+	object, ok := found.value.(*hujson.Object)
+	if !ok {
+		d.rejectValue(name, found, allowedTextsByName)
+		return nil
+	}
+	texts := make(map[string]string, len(object.Members))
+	for _, member := range object.Members {
+		key, _ := stringOf(member.Name.Value)
+		text, ok := stringOf(member.Value.Value)
+		if _, duplicate := texts[key]; !ok || duplicate || !isShortText(key) || !isShortText(text) {
+			d.addFault(found.line, name, "holds "+oneLine(key)+" with "+describe(member.Value.Value)+"; allowed: "+allowedTextsByName)
+			continue
+		}
+		texts[key] = text
+	}
+	return texts
+}
+
+func isShortText(text string) bool { return text != "" && len(text) <= maxNameBytes }
+
 // shareTolerance allows for rounding in the sum of shares.
 const shareTolerance = 1e-9
 
