--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -1,8 +1,9 @@
 // Package dispatcher handles the requests of callers at the ingress.
 //
 // The steps of a request are, in order: find its route, authenticate the customer
-// by the key, check that a server is in a region in which it may be handled, take a token of the customer's rate limit, offer the request to
-// backend servers until one grants a slot, run it there, and return the response.
+// by the key, check that a server is in a region in which it may be handled, take a
+// token of the customer's rate limit, offer the request to backend servers until one
+// grants a slot, run it there, and return the response.
 // A request that certainly did not run may be offered to another server. A request
 // that may have run is retried only if it is idempotent, within the maximum number
 // of attempts of its route and the retry budget.
