Order revisions by era and number

The store may be restored from a copy and then uses revisions again for other changes; its responses name the era. Nothing read it: after a restore from revision 100 to 85 a daemon kept what the store had lost until the store had counted past 100.

A daemon applies a later era only from a full update, ignores updates of an earlier one, sends a full update to a daemon of an earlier era, and skips peers that have not heard of a restore while there are others. The version of the configuration never goes back, and a newer version that the store lost is passed on to daemons that never saw it. Logs and the status page show the era; without a restore they are as before.

--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -162,10 +162,10 @@
 	selector.markSilent(f.Clock.Now(), peer)
 }
 
-// markPeerAnswered records an answer. A peer that has lost its source is skipped for a
-// while, unless all have.
+// markPeerAnswered records an answer. A peer that has lost its source, or has not heard of
+// a restore of the platform, is skipped for a while, unless all have.
 func (f *Follower) markPeerAnswered(selector *sourceSelector, peer string, update flow.Update) {
-	current := update.Age <= staleAge
+	current := update.Age <= staleAge && update.Revision.Era() >= f.revision().Era()
 	if update.SourceLost || !current {
 		selector.markLost(f.Clock.Now(), peer, current)
 		return
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -5,6 +5,9 @@
 // changes have no effect, and no key goes back to an older state during the life of
 // a process. A deletion is kept as a tombstone, to be sent to daemons that missed it.
 //
+// When the platform is restored from a copy, its revisions begin a new era. A full update
+// of the new era replaces everything but the configuration, whose version never goes back.
+//
 // The replica is a state machine without I/O or clock. It is not safe for concurrent
 // use.
 //
@@ -63,6 +66,9 @@
 // use for a grace period. Whether there was an outage each daemon decides by its own
 // contact, since a source may have lost the platform alone.
 func (s *State) Apply(now flow.Time, update flow.Update) bool {
+	if update.Revision != 0 && s.revision != 0 && !s.joins(update) {
+		return false
+	}
 	changed := false
 	proof := now.Add(-update.Age)
 	s.contact.add(now, proof.Add(-update.Unbroken), proof)
@@ -81,6 +87,14 @@
 	return changed
 }
 
+// joins reports whether an update can be applied to what is known. One of an earlier era
+// comes from a daemon that has not heard of the restore; one of a later era must be full,
+// since changes after a revision of another era have no meaning.
+func (s *State) joins(update flow.Update) bool {
+	era := s.revision.Era()
+	return update.Revision.Era() == era || update.Revision.Era() > era && update.Full
+}
+
 // deleteMissing deletes the keys that a full update no longer contains.
 func (s *State) deleteMissing(now flow.Time, update flow.Update) bool {
 	present := make(map[string]bool, len(update.Changes))
@@ -92,6 +106,9 @@
 		if present[key] || change.Deleted || change.Revision > update.Revision {
 			continue
 		}
+		if change.Configuration != nil && change.Revision.Era() < update.Revision.Era() {
+			continue // the copy is older than the first configuration
+		}
 		deletion := flow.Change{Key: key, Revision: update.Revision, Deleted: true}
 		if s.applyChange(now, deletion) {
 			changed = true
@@ -102,12 +119,13 @@
 
 func (s *State) applyChange(now flow.Time, change flow.Change) bool {
 	known, ok := s.changes[change.Key]
-	if ok && change.Revision <= known.Revision {
+	if change.Configuration != nil && known.Configuration != nil {
+		if !replacesConfiguration(known, change) {
+			return false
+		}
+	} else if ok && change.Revision <= known.Revision {
 		return false
 	}
-	if change.Configuration != nil && ok && known.Configuration != nil && change.Configuration.Version < known.Configuration.Version {
-		return false // the operators' version never goes back
-	}
 	if change.Deleted && known.Server != nil && s.InGrace(now) {
 		// The entry stays in use while its deletion is already recorded.
 		change.Server = known.Server
@@ -120,6 +138,17 @@
 	return true
 }
 
+// replacesConfiguration reports whether a change of the configuration replaces a known one.
+// The operators' version never goes back, also when the platform does. A newer version may
+// be of an earlier era: the platform lost it, and another daemon kept it.
+func replacesConfiguration(known, change flow.Change) bool {
+	if change.Configuration.Version != known.Configuration.Version {
+		newer := change.Revision > known.Revision || change.Revision.Era() < known.Revision.Era()
+		return newer && change.Configuration.Version > known.Configuration.Version
+	}
+	return change.Revision > known.Revision
+}
+
 // Expire removes lapsed entries from use when their grace period is over, or when there
 // turns out to have been no outage, and reports whether there were any.
 func (s *State) Expire(now flow.Time) bool {
@@ -135,9 +164,13 @@
 	return true
 }
 
-// Since returns the changes after a revision, or a full update if that is 0.
+// Since returns the changes after a revision, or a full update if that is 0 or of an earlier
+// era.
 func (s *State) Since(now flow.Time, after flow.Revision) flow.Update {
-	update := flow.Update{Revision: s.revision, Age: s.Age(now), Unbroken: s.contact.until.Sub(s.contact.since), Full: after == 0}
+	update := flow.Update{Revision: s.revision, Age: s.Age(now), Unbroken: s.contact.until.Sub(s.contact.since)}
+	if update.Full = after == 0 || after.Era() < s.revision.Era(); update.Full {
+		after = 0
+	}
 	for _, change := range s.changes {
 		if change.Revision <= after || (update.Full && change.Deleted) {
 			continue
--- a/internal/process/replicator/replicator_test.go
+++ b/internal/process/replicator/replicator_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// inEra returns a revision of an era.
+func inEra(t *testing.T, era, number uint64) flow.Revision {
+	t.Helper()
+	revision, err := flow.NewRevision(era, number)
+	is.New(t).NoErr(err)
+	return revision
+}
+
+// TestRestoreReplacesWhatIsKnown guards against a daemon that goes on with what the store
+// lost in a restore until the store has counted past the revisions of before.
+func TestRestoreReplacesWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	restored := func(number uint64) flow.Revision { return inEra(t, 1, number) }
+	draining := flow.Change{Key: "servers/b", Revision: restored(84), Server: &flow.ServerEntry{ID: "b", Draining: true}}
+	s := replicator.New()
+	s.Apply(1000, flow.Update{Full: true, Revision: 100, Changes: []flow.Change{configuration(7, 90), server("a", 5), server("b", 6)}})
+	is.True(!s.Apply(1000, flow.Update{Revision: restored(86), Changes: []flow.Change{server("d", restored(86))}})) // changes alone say nothing about the rest
+	full := flow.Update{Full: true, Revision: restored(85), Changes: []flow.Change{configuration(8, restored(80)), draining, server("c", restored(82))}}
+	is.True(s.Apply(1000, full))
+	s.Expire(10_000)
+	is.Equal(inForce(s), "8 [b c]")
+	is.Equal(s.Revision(), restored(85))
+	is.True(!s.Apply(1000, flow.Update{Full: true, Revision: 300, Changes: []flow.Change{configuration(9, 300), server("z", 300)}})) // of a daemon that has not heard of the restore
+	s.Apply(1000, flow.Update{Revision: restored(86), Changes: []flow.Change{configuration(6, restored(86))}})
+	is.Equal(inForce(s), "8 [b c]") // the version never goes back
+
+	old, fresh := replicator.New(), replicator.New()
+	old.Apply(1000, flow.Update{Full: true, Revision: 400, Changes: []flow.Change{configuration(10, 400), server("e", 399)}})
+	fresh.Apply(1000, flow.Update{Full: true, Revision: restored(85), Changes: full.Changes})
+	old.Apply(1000, fresh.Since(1000, old.Revision()))
+	old.Expire(10_000)
+	is.Equal(inForce(old), "10 [b c]") // the update was full, and the newest version is kept
+	fresh.Apply(1000, old.Since(1000, 0))
+	is.Equal(inForce(fresh), "10 [b c]")
+}
+
 // outage is a time without contact in which entries may have lapsed.
 const outage = 4 * time.Second
 
--- a/internal/process/supervisor/pages.go
+++ b/internal/process/supervisor/pages.go
@@ -15,6 +15,7 @@
 	Host       string          `json:"host"`
 	Zone       string          `json:"availability-zone"`
 	Service    string          `json:"service"`
+	Era        uint64          `json:"era"` // number of restores of the store
 	Revision   uint64          `json:"revision"`
 	Version    uint64          `json:"version"`
 	ProofAgeMs int64           `json:"age-ms"` // since the newest proof that the revision is current
@@ -30,7 +31,8 @@
 		Host:       s.settings.Host,
 		Zone:       s.settings.AvailabilityZone,
 		Service:    *s.service.Load(),
-		Revision:   uint64(catalog.Revision),
+		Era:        catalog.Revision.Era(),
+		Revision:   catalog.Revision.Number(),
 		Version:    catalog.Version,
 		ProofAgeMs: s.follower.Age().Milliseconds(),
 		Hosts:      len(catalog.Hosts()),
--- a/pkg/flow/record.go
+++ b/pkg/flow/record.go
@@ -4,12 +4,62 @@
 
 package flow
 
-import "time"
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+	"time"
+)
 
 // Revision orders all changes of the configuration: each published change has a
 // higher one. Zero means that nothing was received yet.
+//
+// Its high bits hold the era of the platform's data, and the low ones the number of the
+// change within it. The platform begins an era when it is restored from a copy, and then
+// uses numbers again, so that only both together order changes.
 type Revision uint64
 
+// numberBits is the size of the number within an era. At a million changes a second it
+// lasts for eight years.
+const numberBits = 48
+
+// Largest parts of a Revision.
+const (
+	MaxEra    = 1<<(64-numberBits) - 1
+	MaxNumber = 1<<numberBits - 1
+)
+
+// NewRevision returns the revision of a change. It returns an error if a part is out of
+// range.
+func NewRevision(era, number uint64) (Revision, error) {
+	if era > MaxEra || number > MaxNumber {
+		return 0, fmt.Errorf("era %d and revision %d are not within %d and %d", era, number, uint64(MaxEra), uint64(MaxNumber))
+	}
+	return Revision(era<<numberBits | number), nil
+}
+
+// Era returns the era of the platform's data.
+func (r Revision) Era() uint64 { return uint64(r) >> numberBits }
+
+// Number returns the number of the change within its era.
+func (r Revision) Number() uint64 { return uint64(r) & MaxNumber }
+
+// String returns the number, with the era before it unless that is 0.
+func (r Revision) String() string {
+	if r.Era() == 0 {
+		return strconv.FormatUint(r.Number(), 10)
+	}
+	return fmt.Sprintf("%d/%d", r.Era(), r.Number())
+}
+
+// LogValue returns the value that stands in a log: a number while the era is 0.
+func (r Revision) LogValue() slog.Value {
+	if r.Era() == 0 {
+		return slog.Uint64Value(r.Number())
+	}
+	return slog.StringValue(r.String())
+}
+
 // Kind names a type of record.
 type Kind string
 
