Keep restrictions over a restore of the store

A copy of the store may hold a server as ready that had drained or left, and lack the item of a zone that was out of service. Daemons used them again at once, and a daemon that had restarted took an older configuration.

Daemons exchange the restrictions and a newer configuration that the store lost with their fetches; a reader that knows less than a follower asks it.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -45,6 +45,7 @@
 	ApplyWithin time.Duration
 	FirstStart  bool // the whole deployment starts for the first time
 	OnChange    func(*cataloger.Catalog)
+	OnRestore   func() // called for each era of the platform that begins; may be nil
 }
 
 // Follower maintains the catalog of a daemon.
@@ -52,6 +53,7 @@
 	Parts
 	catalog       atomic.Pointer[cataloger.Catalog]
 	platformHeard chan struct{} // wakes the reader of the platform when others have heard it
+	informed      chan string   // hosts that know more than this one of the time before a restore
 	loggedSource  string        // used only by the goroutine that asks peers
 
 	mu            sync.Mutex
@@ -63,6 +65,7 @@
 	inquired      map[string]int       // by zone: index of the host that is asked
 	asking        map[string]bool      // by zone: news of one of its hosts are awaited
 	announcedAt   flow.Time            // when a configuration was first announced that has not come yet; Never if there is none
+	restricted    int                  // number of restrictions kept after a restore of the store, as logged
 	lastOutage    time.Duration        // length of the newest presumed outage of the store; 0 if there was none
 	turn          bool                 // this daemon reads the platform
 	rank          int                  // number of hosts that are not silent and read it before this one
@@ -79,6 +82,7 @@
 	f := &Follower{
 		Parts:         parts,
 		platformHeard: make(chan struct{}, 1),
+		informed:      make(chan string, 1),
 		state:         replicator.New(),
 		changed:       make(chan struct{}),
 		touchWanted:   flow.Never,
@@ -118,6 +122,7 @@
 	loops.Go(func() { f.expireLapsed(ctx) })
 	loops.Go(func() { f.keepInTouch(ctx) })
 	loops.Go(func() { f.readOtherZones(ctx) })
+	loops.Go(func() { f.readInformed(ctx) })
 	f.askPeers(ctx)
 	loops.Wait()
 	f.background.Wait()
@@ -265,11 +270,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	before, ageBefore := f.state.Revision(), f.state.Age(now)
+	before, ageBefore, restores := f.state.Known(), f.state.Age(now), f.state.Restores()
 	changed := f.state.Apply(now, update)
 	f.noteOutage(source)
+	f.noteRestores(source, restores)
+	f.noteRestrictions()
 	renewed := ageBefore > staleAge && f.state.Age(now) <= staleAge
-	if f.state.Revision() > before || changed || renewed {
+	if f.state.Known() != before || changed || renewed {
 		f.wakeWaiters()
 	}
 	if hasConfiguration(update) {
@@ -329,14 +336,20 @@
 	return catalog
 }
 
-// expireLapsed removes lapsed entries after their grace period.
+// expireLapsed removes lapsed entries after their grace period, and lifts restrictions after
+// their bound.
 func (f *Follower) expireLapsed(ctx context.Context) {
 	for flow.Sleep(ctx, expireInterval) {
 		f.mu.Lock()
+		lapsed := f.state.Lapsed()
 		expired := f.state.Expire(f.Clock.Now())
+		removed := f.state.Lapsed() < lapsed
+		f.noteRestrictions()
 		f.mu.Unlock()
-		if expired {
+		if removed {
 			f.Log.Info("lapsed backend servers were removed", "revision", f.revision())
+		}
+		if expired {
 			f.publish()
 		}
 	}
@@ -357,14 +370,16 @@
 	if err := request.(listener.Request).Decode(&fetch); err != nil {
 		return nil, err
 	}
+	peer := request.(listener.Request).Peer.Host
 	received, wasLost, over := f.Clock.Now(), false, false
 	wait := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, peerWatchWait))
 	defer wait.Stop()
 	for {
 		f.mu.Lock()
 		changed, now := f.changed, f.Clock.Now()
-		update := f.state.Since(now, fetch.After)
+		update := f.state.News(now, fetch.known())
 		update.SourceLost = f.reading == readingLost
+		f.noteInformed(now, peer, fetch.known())
 		f.mu.Unlock()
 		regained := wasLost && !update.SourceLost
 		wasLost = update.SourceLost
@@ -372,7 +387,7 @@
 			return nil, errNothingKnown
 		}
 		held := now.Sub(received)
-		if over || update.Revision > fetch.After || regained || fetch.hasNews(update, held) {
+		if over || update.Revision > fetch.After || regained || bringsLost(update) || fetch.hasNews(update, held) {
 			return newFetchAnswer(update, fetch.Large, held), nil
 		}
 		select {
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/replicator"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -36,6 +37,13 @@
 	Large   bool          `msgpack:"l,omitempty"` // send configurations too
 	Waiting bool          `msgpack:"n,omitempty"` // the requester knows that the peer's source is lost, and waits for news
 	AgeMs   int64         `msgpack:"p,omitempty"` // proof age of what the requester knows, if Waiting
+	Version uint64        `msgpack:"v,omitempty"` // newest configuration that the requester knows
+	Kept    uint64        `msgpack:"k,omitempty"` // digest of the restrictions that it keeps from earlier eras
+}
+
+// known returns what the requester knows.
+func (r FetchRequest) known() replicator.Known {
+	return replicator.Known{Revision: r.After, Version: r.Version, Restrictions: r.Kept}
 }
 
 // FetchAnswer is the answer to a FetchRequest. A configuration is announced first
@@ -104,7 +112,10 @@
 }
 
 func (f *Follower) newFetchRequest(wait time.Duration, waiting bool) FetchRequest {
-	request := FetchRequest{After: f.revision(), WaitMs: wait.Milliseconds()}
+	f.mu.Lock()
+	known := f.state.Known()
+	f.mu.Unlock()
+	request := FetchRequest{After: known.Revision, Version: known.Version, Kept: known.Restrictions, WaitMs: wait.Milliseconds()}
 	if waiting {
 		request.Waiting, request.AgeMs = true, f.Age().Milliseconds()
 	}
--- a/internal/process/follower/platform.go
+++ b/internal/process/follower/platform.go
@@ -159,8 +159,9 @@
 	r.restart(ctx)
 	r.backoff, r.retried = 0, false
 	f.setReading(readingAnswered)
+	newEra := call.update.Revision.Era() > f.revision().Era()
 	f.apply(ctx, sourcePlatform, call.update, platformCoalesceDelay)
-	if f.presumesOutage() {
+	if newEra || f.presumesOutage() {
 		f.inquire(ctx)
 	}
 	if len(f.hosts(true)) == 0 {
--- a/internal/process/follower/touch.go
+++ b/internal/process/follower/touch.go
@@ -70,7 +70,8 @@
 	for flow.Sleep(ctx, inquiryInterval) {
 		now := f.Clock.Now()
 		f.mu.Lock()
-		ask := f.state.InGrace(now) || f.state.Age(now) > inquiryAge && now.Sub(f.touchWanted) <= inquiryDemand
+		ask := f.state.InGrace(now) || f.state.Age(now) > inquiryAge && now.Sub(f.touchWanted) <= inquiryDemand ||
+			f.turn && f.state.Keeps(now)
 		f.mu.Unlock()
 		if ask {
 			f.inquire(ctx)
@@ -117,13 +118,14 @@
 }
 
 // inquireOf asks a host of a zone what it knows. A configuration that it announces is
-// requested if the requester waits for it, or if it has not come from elsewhere in time.
+// requested if the requester waits for it, if it has not come from elsewhere in time, or if
+// the platform may have lost it in a restore.
 func (f *Follower) inquireOf(ctx context.Context, zone, peer string, index int, request FetchRequest) {
 	sentAt := f.Clock.Now()
 	within := time.Duration(request.WaitMs)*time.Millisecond + peerAnswerMargin
 	answer, err := f.call(ctx, peer, request, within)
 	if err == nil && answer.Large {
-		if zone != f.Zone && (request.Waiting || f.awaitsAnnounced()) {
+		if f.keepsRestrictions() || zone != f.Zone && (request.Waiting || f.awaitsAnnounced()) {
 			_, err = f.transfer(ctx, peer, request)
 		}
 	} else if err == nil {
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -6,7 +6,8 @@
 // a process. A deletion is kept as a tombstone, to be sent to daemons that missed it.
 //
 // When the platform is restored from a copy, its revisions begin a new era. A full update
-// of the new era replaces everything but the configuration, whose version never goes back.
+// of the new era replaces everything but the configuration, whose version never goes back,
+// and restrictions, which are kept for a while (restriction.go).
 //
 // The replica is a state machine without I/O or clock. It is not safe for concurrent
 // use.
@@ -26,8 +27,10 @@
 	changes  map[string]flow.Change
 	lapsed   map[string]bool // deleted keys that stay in use until the grace period ends
 	revision flow.Revision
+	version  uint64    // highest version of the configuration so far
 	provenAt flow.Time // when the revision was last proven to be current
 	contact  contact
+	era      era
 }
 
 // New returns an empty State.
@@ -37,12 +40,16 @@
 		lapsed:   map[string]bool{},
 		provenAt: flow.Never,
 		contact:  newContact(),
+		era:      newEra(),
 	}
 }
 
 // Revision returns the revision up to which all changes are known.
 func (s *State) Revision() flow.Revision { return s.revision }
 
+// Version returns the highest version of the configuration so far.
+func (s *State) Version() uint64 { return s.version }
+
 // Age returns the proof age: the time since the state was last proven to be current.
 func (s *State) Age(now flow.Time) time.Duration { return now.Sub(s.provenAt) }
 
@@ -72,6 +79,9 @@
 	changed := false
 	proof := now.Add(-update.Age)
 	s.contact.add(now, proof.Add(-update.Unbroken), proof)
+	if update.Revision.Era() > s.revision.Era() {
+		s.beginEra(now, update)
+	}
 	if update.Full {
 		changed = s.deleteMissing(now, update)
 	}
@@ -84,6 +94,9 @@
 		s.revision = update.Revision
 		s.provenAt = max(s.provenAt, proof)
 	}
+	if update.Revision.Era() == s.revision.Era() && s.mergeRestrictions(now, update) {
+		changed = true
+	}
 	return changed
 }
 
@@ -119,14 +132,23 @@
 
 func (s *State) applyChange(now flow.Time, change flow.Change) bool {
 	known, ok := s.changes[change.Key]
-	if change.Configuration != nil && known.Configuration != nil {
+	switch {
+	case change.Configuration != nil && change.Configuration.Version < s.version:
+		return false // the operators' version never goes back, also when the platform does
+	case change.Configuration != nil && known.Configuration != nil:
 		if !replacesConfiguration(known, change) {
 			return false
 		}
-	} else if ok && change.Revision <= known.Revision {
+	case ok && change.Revision <= known.Revision:
 		return false
 	}
-	if change.Deleted && known.Server != nil && s.InGrace(now) {
+	if change.Configuration != nil {
+		s.version = change.Configuration.Version
+	}
+	if change.Deleted && change.StartedUnixMs == 0 {
+		change.StartedUnixMs = startOf(known)
+	}
+	if change.Deleted && known.Server != nil && s.lapses(now) && !s.restricts(known) {
 		// The entry stays in use while its deletion is already recorded.
 		change.Server = known.Server
 		s.lapsed[change.Key] = true
@@ -138,21 +160,31 @@
 	return true
 }
 
-// replacesConfiguration reports whether a change of the configuration replaces a known one.
-// The operators' version never goes back, also when the platform does. A newer version may
-// be of an earlier era: the platform lost it, and another daemon kept it.
+// replacesConfiguration reports whether a change of the configuration, whose version is not
+// older, replaces a known one. A newer version may be of an earlier era: the platform lost
+// it, and another daemon kept it.
 func replacesConfiguration(known, change flow.Change) bool {
-	if change.Configuration.Version != known.Configuration.Version {
-		newer := change.Revision > known.Revision || change.Revision.Era() < known.Revision.Era()
-		return newer && change.Configuration.Version > known.Configuration.Version
-	}
-	return change.Revision > known.Revision
+	lost := change.Revision.Era() < known.Revision.Era() && change.Configuration.Version > known.Configuration.Version
+	return lost || change.Revision > known.Revision
 }
 
+// lapses reports whether entries that are deleted stay in use, since live servers may not
+// have been able to register again.
+func (s *State) lapses(now flow.Time) bool { return s.InGrace(now) || s.inEraGrace(now) }
+
 // Expire removes lapsed entries from use when their grace period is over, or when there
-// turns out to have been no outage, and reports whether there were any.
+// turns out to have been no outage. It also lifts restrictions whose bound has passed. It
+// reports whether there were any.
 func (s *State) Expire(now flow.Time) bool {
-	if len(s.lapsed) == 0 || s.InGrace(now) {
+	lifted := s.lift(now)
+	return s.removeLapsed(now) || lifted
+}
+
+// Lapsed returns the number of deleted entries that stay in use.
+func (s *State) Lapsed() int { return len(s.lapsed) }
+
+func (s *State) removeLapsed(now flow.Time) bool {
+	if len(s.lapsed) == 0 || s.lapses(now) {
 		return false
 	}
 	for key := range s.lapsed {
@@ -164,15 +196,38 @@
 	return true
 }
 
+// Known is what a daemon knows that asks for news.
+type Known struct {
+	Revision     flow.Revision
+	Version      uint64 // of the configuration
+	Restrictions uint64 // digest of the restrictions from earlier eras
+}
+
+// Known returns what is known.
+func (s *State) Known() Known {
+	return Known{Revision: s.revision, Version: s.version, Restrictions: s.era.digest()}
+}
+
 // Since returns the changes after a revision, or a full update if that is 0 or of an earlier
 // era.
 func (s *State) Since(now flow.Time, after flow.Revision) flow.Update {
+	known := s.Known()
+	known.Revision = after
+	return s.News(now, known)
+}
+
+// News returns what is newer than what a daemon knows: the changes after its revision, or a
+// full update if that is 0 or of an earlier era; a configuration that the platform lost; and
+// restrictions, while they are kept.
+func (s *State) News(now flow.Time, known Known) flow.Update {
 	update := flow.Update{Revision: s.revision, Age: s.Age(now), Unbroken: s.contact.until.Sub(s.contact.since)}
+	after := known.Revision
 	if update.Full = after == 0 || after.Era() < s.revision.Era(); update.Full {
 		after = 0
 	}
+	s.addEra(now, known, &update)
 	for _, change := range s.changes {
-		if change.Revision <= after || (update.Full && change.Deleted) {
+		if lost := s.isLost(change) && change.Configuration.Version > known.Version; change.Revision <= after && !lost || (update.Full && change.Deleted) {
 			continue
 		}
 		if change.Deleted {
@@ -183,6 +238,11 @@
 	return update
 }
 
+// isLost reports whether a change is the configuration and the platform lost it in a restore.
+func (s *State) isLost(change flow.Change) bool {
+	return change.Configuration != nil && change.Revision.Era() < s.revision.Era()
+}
+
 // InForce returns the configuration, the backend servers and the availability zones
 // taken out of service that are in force.
 func (s *State) InForce() (*flow.Configuration, []*flow.ServerEntry, map[string]bool) {
@@ -191,6 +251,10 @@
 	zonesOut := map[string]bool{}
 	for _, change := range s.changes {
 		switch {
+		case change.Server != nil && s.restricts(change):
+			restricted := *change.Server
+			restricted.Draining = true
+			servers = append(servers, &restricted)
 		case change.Server != nil:
 			servers = append(servers, change.Server)
 		case change.Configuration != nil:
@@ -199,5 +263,10 @@
 			zonesOut[change.ZoneOut] = true
 		}
 	}
+	for _, kept := range s.era.kept {
+		if kept.ZoneOut != "" && kept.active() {
+			zonesOut[kept.ZoneOut] = true
+		}
+	}
 	return configuration, servers, zonesOut
 }
--- a/internal/process/replicator/replicator_test.go
+++ b/internal/process/replicator/replicator_test.go
@@ -101,7 +101,9 @@
 	is.True(!s.Apply(1000, flow.Update{Revision: restored(86), Changes: []flow.Change{server("d", restored(86))}})) // changes alone say nothing about the rest
 	full := flow.Update{Full: true, Revision: restored(85), Changes: []flow.Change{configuration(8, restored(80)), draining, server("c", restored(82))}}
 	is.True(s.Apply(1000, full))
-	s.Expire(10_000)
+	is.Equal(inForce(s), "8 [a b c]") // the store may have lost that a had registered
+	s.Apply(3500, flow.Update{Revision: restored(85), Unbroken: 2500 * time.Millisecond})
+	s.Expire(3500)
 	is.Equal(inForce(s), "8 [b c]")
 	is.Equal(s.Revision(), restored(85))
 	is.True(!s.Apply(1000, flow.Update{Full: true, Revision: 300, Changes: []flow.Change{configuration(9, 300), server("z", 300)}})) // of a daemon that has not heard of the restore
@@ -112,7 +114,8 @@
 	old.Apply(1000, flow.Update{Full: true, Revision: 400, Changes: []flow.Change{configuration(10, 400), server("e", 399)}})
 	fresh.Apply(1000, flow.Update{Full: true, Revision: restored(85), Changes: full.Changes})
 	old.Apply(1000, fresh.Since(1000, old.Revision()))
-	old.Expire(10_000)
+	old.Apply(3500, flow.Update{Revision: restored(85), Unbroken: 2500 * time.Millisecond})
+	old.Expire(3500)
 	is.Equal(inForce(old), "10 [b c]") // the update was full, and the newest version is kept
 	fresh.Apply(1000, old.Since(1000, 0))
 	is.Equal(inForce(fresh), "10 [b c]")
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -44,7 +44,7 @@
 // because building the name in the registry for each request would be slower.
 type series struct {
 	name          string
-	first, second label // second is empty when there is only one label
+	first, second label // empty ones are left out
 }
 
 type label struct{ name, value string }
@@ -52,13 +52,15 @@
 // NewMetrics returns Metrics in which at most maxCustomers customers have metrics
 // of their own.
 func NewMetrics(maxCustomers int) *Metrics {
-	return &Metrics{
+	m := &Metrics{
 		Registry:   metrics.NewRegistry(),
 		customers:  newLabelValues(maxCustomers),
 		routes:     newLabelValues(maxRoutes),
 		counters:   map[series]metrics.Counter{},
 		histograms: map[series]metrics.Histogram{},
 	}
+	m.addCounter(restoresSeries) // so that it is 0 before the first restore
+	return m
 }
 
 // Served records the end of a caller's request. The reason is empty when it was
@@ -99,6 +101,11 @@
 	m.increment(series{"calls", label{"call", call}, label{"result", result}})
 }
 
+// StoreRestored records that the platform's store was restored from a copy.
+func (m *Metrics) StoreRestored() { m.increment(restoresSeries) }
+
+var restoresSeries = series{name: "store-restores"}
+
 // labelValues is the set of values of a label that have metrics of their own. It
 // is safe for concurrent use.
 type labelValues struct {
@@ -179,9 +186,11 @@
 
 // String returns the name of a metric in the registry.
 func (s series) String() string {
-	labels := []string{s.first.name, s.first.value}
-	if s.second.name != "" {
-		labels = append(labels, s.second.name, s.second.value)
+	var labels []string
+	for _, l := range []label{s.first, s.second} {
+		if l.name != "" {
+			labels = append(labels, l.name, l.value)
+		}
 	}
 	return registryName(s.name, labels)
 }
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -188,6 +188,7 @@
 		Random:   newRandom(1),
 		OnChange: s.applyCatalog,
 
+		OnRestore:   s.metrics.StoreRestored,
 		ApplyWithin: settings.Sidecar.ApplyWithin,
 		FirstStart:  settings.Sidecar.FirstStart == "true",
 	})
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -19,6 +19,17 @@
 	EncodedConfiguration []byte         `msgpack:"c,omitempty"` // Configuration as daemons send it to each other
 	Server               *ServerEntry   `msgpack:"s,omitempty"`
 	ZoneOut              string         `msgpack:"z,omitempty"` // availability zone that is out of service
+	StartedUnixMs        int64          `msgpack:"b,omitempty"` // start of the backend server whose entry is deleted; 0 if not known
+}
+
+// Restriction is something that was draining, gone or out of service before the platform
+// was restored from a copy which says otherwise. It is kept until what was lost is written
+// again, or until a bound has passed.
+type Restriction struct {
+	Key           string `msgpack:"k"`
+	ZoneOut       string `msgpack:"z,omitempty"` // availability zone; "" if this is about a backend server
+	StartedUnixMs int64  `msgpack:"b,omitempty"` // start of the backend server's process; 0 if not known
+	Lifted        bool   `msgpack:"l,omitempty"` // it was written again, or the server has restarted
 }
 
 // Configuration is one version of all that operators declare.
@@ -115,6 +126,10 @@
 	Age        time.Duration `msgpack:"a"`           // time since the request to the platform that proved Revision current
 	Unbroken   time.Duration `msgpack:"u,omitempty"` // how long before that request the platform had been answering without an interruption
 	SourceLost bool          `msgpack:"l,omitempty"` // the daemon that relays the update has lost its own source
+
+	EraFirst Revision      `msgpack:"h,omitempty"` // lowest revision at which the platform was seen in its era; later ones were written in it
+	EraAge   time.Duration `msgpack:"e,omitempty"` // time since then
+	Kept     []Restriction `msgpack:"k,omitempty"` // from earlier eras
 }
 
 // Source returns what the platform publishes. It is the platform itself or another
