Play restores of the store on fleets in simulated time; deletions are not missed

- A copy that holds the process before a server's restart with the same id brought that process back into use.
Processes older than the one in use are now restricted, too.
A full update now records the gap that it bridges, and a daemon in a gap gets a full update.

The soak restores the store without an outage, and lets it come back from a copy after outages.

--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -17,6 +17,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -25,14 +26,23 @@
 // State holds the newest change of every key.
 type State struct {
 	changes  map[string]flow.Change
-	lapsed   map[string]bool // deleted keys that stay in use until the grace period ends
+	lapsed   map[string]bool // deleted keys that stay in use until a grace period ends: that of the era if true, or that of an outage
 	revision flow.Revision
 	version  uint64    // highest version of the configuration so far
 	provenAt flow.Time // when the revision was last proven to be current
 	contact  contact
 	era      era
+	gaps     []gap // oldest first
 }
 
+// gap is a span of revisions that a full update bridged. Items that were written and deleted
+// within it have no tombstone here, so a daemon whose revision lies in it must get a full
+// update, or it would keep them.
+type gap struct{ from, to flow.Revision }
+
+// maxGaps bounds the gaps; the oldest ones are joined.
+const maxGaps = 8
+
 // New returns an empty State.
 func New() *State {
 	return &State{
@@ -84,6 +94,8 @@
 	}
 	if update.Full {
 		changed = s.deleteMissing(now, update)
+		s.era.copied = 0
+		s.addGap(update.Revision)
 	}
 	for _, change := range update.Changes {
 		if s.applyChange(now, change) {
@@ -108,6 +120,23 @@
 	return update.Revision.Era() == era || update.Revision.Era() > era && update.Full
 }
 
+// addGap records that a full update of a revision is applied.
+func (s *State) addGap(to flow.Revision) {
+	if to <= s.revision {
+		return
+	}
+	s.gaps = append(s.gaps, gap{s.revision, to})
+	if len(s.gaps) > maxGaps {
+		s.gaps[1].from = s.gaps[0].from
+		s.gaps = slices.Delete(s.gaps, 0, 1)
+	}
+}
+
+// inGap reports whether the deletions after a revision are not all known.
+func (s *State) inGap(revision flow.Revision) bool {
+	return slices.ContainsFunc(s.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // deleteMissing deletes the keys that a full update no longer contains.
 func (s *State) deleteMissing(now flow.Time, update flow.Update) bool {
 	present := make(map[string]bool, len(update.Changes))
@@ -148,10 +177,11 @@
 	if change.Deleted && change.StartedUnixMs == 0 {
 		change.StartedUnixMs = startOf(known)
 	}
-	if change.Deleted && known.Server != nil && s.lapses(now) && !s.restricts(known) {
+	lost := change.Revision == s.era.copied // the copy lacks the entry
+	if change.Deleted && known.Server != nil && (lost || s.InGrace(now)) && !s.restricts(known) {
 		// The entry stays in use while its deletion is already recorded.
 		change.Server = known.Server
-		s.lapsed[change.Key] = true
+		s.lapsed[change.Key] = lost
 		s.changes[change.Key] = change
 		return false
 	}
@@ -168,10 +198,6 @@
 	return lost || change.Revision > known.Revision
 }
 
-// lapses reports whether entries that are deleted stay in use, since live servers may not
-// have been able to register again.
-func (s *State) lapses(now flow.Time) bool { return s.InGrace(now) || s.inEraGrace(now) }
-
 // Expire removes lapsed entries from use when their grace period is over, or when there
 // turns out to have been no outage. It also lifts restrictions whose bound has passed. It
 // reports whether there were any.
@@ -183,17 +209,20 @@
 // Lapsed returns the number of deleted entries that stay in use.
 func (s *State) Lapsed() int { return len(s.lapsed) }
 
+// removeLapsed removes the lapsed entries whose grace period is over.
 func (s *State) removeLapsed(now flow.Time) bool {
-	if len(s.lapsed) == 0 || s.lapses(now) {
-		return false
-	}
-	for key := range s.lapsed {
+	removed := false
+	for key, lost := range s.lapsed {
+		if s.InGrace(now) || lost && s.inEraGrace(now) {
+			continue
+		}
 		change := s.changes[key]
 		change.Server = nil
 		s.changes[key] = change
+		delete(s.lapsed, key)
+		removed = true
 	}
-	clear(s.lapsed)
-	return true
+	return removed
 }
 
 // Known is what a daemon knows that asks for news.
@@ -217,12 +246,12 @@
 }
 
 // News returns what is newer than what a daemon knows: the changes after its revision, or a
-// full update if that is 0 or of an earlier era; a configuration that the platform lost; and
-// restrictions, while they are kept.
+// full update if that is 0, of an earlier era or in a gap; a configuration that the platform
+// lost; and restrictions, while they are kept.
 func (s *State) News(now flow.Time, known Known) flow.Update {
 	update := flow.Update{Revision: s.revision, Age: s.Age(now), Unbroken: s.contact.until.Sub(s.contact.since)}
 	after := known.Revision
-	if update.Full = after == 0 || after.Era() < s.revision.Era(); update.Full {
+	if update.Full = after == 0 || after.Era() < s.revision.Era() || s.inGap(after); update.Full {
 		after = 0
 	}
 	s.addEra(now, known, &update)
--- a/internal/process/replicator/replicator_test.go
+++ b/internal/process/replicator/replicator_test.go
@@ -162,6 +162,23 @@
 	is.Equal(inForce(reader), "0 [a]")
 }
 
+// TestDeletionBeforeAFullUpdateReachesOthers guards against a deletion that a daemon misses
+// for good, since its source has only read everything after it and holds no tombstone.
+func TestDeletionBeforeAFullUpdateReachesOthers(t *testing.T) {
+	is := is.New(t)
+	follower, reader := replicator.New(), replicator.New()
+	follower.Apply(0, flow.Update{Full: true, Revision: 15, Changes: []flow.Change{server("a", 5), server("b", 12)}})
+	reader.Apply(0, flow.Update{Full: true, Revision: 20, Changes: []flow.Change{server("a", 5)}}) // b was deleted meanwhile
+	follower.Apply(0, reader.Since(0, follower.Revision()))
+	is.Equal(inForce(follower), "0 [a]")
+	is.True(!reader.Since(0, 20).Full)
+	is.True(!follower.Since(0, 15).Full) // b's deletion is known here
+	for revision := flow.Revision(30); revision < 300; revision += 10 {
+		reader.Apply(0, flow.Update{Full: true, Revision: revision, Changes: []flow.Change{server("a", 5)}})
+	}
+	is.True(reader.Since(0, 25).Full) // also when there were many gaps
+}
+
 func TestAgeCountsFromTheNewestProof(t *testing.T) {
 	is := is.New(t)
 	s := replicator.New()
--- a/internal/process/replicator/restriction.go
+++ b/internal/process/replicator/restriction.go
@@ -50,6 +50,7 @@
 	restores uint64        // eras that began during the life of the process
 	first    flow.Revision // lowest revision at which the platform was seen in the era; 0 in era 0
 	since    flow.Time     // when that was; Never in era 0
+	copied   flow.Revision // of the update that begins the era, while entries are deleted that it lacks; otherwise 0
 	kept     map[string]*restriction
 	lifts    []Lift // not yet taken
 }
@@ -114,7 +115,7 @@
 // inEraGrace reports whether entries stay in use that the copy lacks: servers register again
 // after a restore.
 func (s *State) inEraGrace(now flow.Time) bool {
-	return s.era.restores > 0 && !s.inContactFor(now, flow.LapseGrace)
+	return s.era.since != flow.Never && now.Before(s.era.since.Add(flow.LapseGrace))
 }
 
 // beginEra begins the era of a full update. It keeps the restrictions that this contradicts.
@@ -123,6 +124,9 @@
 	if s.revision != 0 {
 		s.era.restores += update.Revision.Era() - s.revision.Era()
 	}
+	if s.era.restores > 0 {
+		s.era.copied = update.Revision
+	}
 	s.era.first, s.era.since = update.Revision, now.Add(-update.EraAge)
 	if update.EraFirst != 0 {
 		s.era.first = update.EraFirst
@@ -141,15 +145,20 @@
 	}
 }
 
-// restrictions returns all that is draining, gone or out of service.
+// restrictions returns all that is draining, gone or out of service. A process that is in use
+// means that those with its id that started before it are gone.
 func (s *State) restrictions() map[string]*restriction {
 	found := map[string]*restriction{}
 	for key, change := range s.changes {
 		draining := change.Server != nil && change.Server.Draining
 		gone := change.Deleted && !s.lapsed[key]
-		if draining || gone || change.ZoneOut != "" {
-			found[key] = &restriction{Restriction: flow.Restriction{Key: key, ZoneOut: change.ZoneOut, StartedUnixMs: startOf(change)}}
+		started := startOf(change)
+		if !draining && !gone && change.ZoneOut == "" {
+			if started--; started <= 0 {
+				continue
+			}
 		}
+		found[key] = &restriction{Restriction: flow.Restriction{Key: key, ZoneOut: change.ZoneOut, StartedUnixMs: started}}
 	}
 	for key, kept := range s.era.kept {
 		if kept.active() {
--- a/internal/soaker/deployment.go
+++ b/internal/soaker/deployment.go
@@ -56,7 +56,7 @@
 type deployment struct {
 	options        Options
 	names          flow.HeaderNames
-	store          *emulator.Store
+	store          *publisher
 	links          *interrupter.Interrupter
 	hosts          []*host
 	runs           *runLog
@@ -64,6 +64,8 @@
 	logs           []*os.File
 	lastGeneration atomic.Int64 // generation of the last replacement of a backend server; part of its id
 
+	publishing sync.Mutex // held while the configuration is published, and taken before mu
+
 	mu            sync.Mutex
 	configuration flow.Configuration
 	keys          []string // that callers use
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, flow.Wrap("listen-store", storeAddress, err)
 	}
-	dep.store = emulator.Start(listener)
+	dep.store = newPublisher(emulator.Start(listener))
 	if dep.links, err = interrupter.New(ctx, interrupter.Options{Seed: options.Seed}); err != nil {
 		return nil, err
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -21,6 +21,7 @@
 	deployment  *deployment
 	random      *rand.Rand
 	outages     *rand.Rand // of the outages of the store, so that they leave the other events of a seed as they are
+	restores    *rand.Rand // of the restores of the store, likewise
 	busyTargets sync.Map   // targets of running events, so that events on one target do not overlap
 }
 
@@ -112,6 +113,10 @@
 // outageOneIn is the share of the steps of the injector at which an outage of the store begins.
 const outageOneIn = 10
 
+// restoreOneIn is the share of the steps of the injector at which the store is restored from a
+// copy.
+const restoreOneIn = 8
+
 // plannedEvents are the events that are no faults: the guarantees hold while they last.
 var plannedEvents = []string{reloadEvent, "release", "move-route", "withdraw-key", "zone-out", "stop", "store-compact"}
 
@@ -126,6 +131,11 @@
 		if injector.outages.IntN(outageOneIn) == 0 {
 			injector.storeOutage(ctx)
 		}
+		if injector.restores.IntN(restoreOneIn) == 0 {
+			lost := time.Duration(injector.restores.IntN(3000)) * time.Millisecond
+			random := rand.New(rand.NewPCG(injector.restores.Uint64(), 4))
+			running.Go(func() { injector.restoreStore(ctx, lost, random) })
+		}
 		e := events[injector.random.IntN(len(events))]
 		host := injector.random.IntN(len(injector.deployment.hosts))
 		eventDuration := time.Duration(300+injector.random.IntN(3200)) * time.Millisecond
@@ -160,12 +170,14 @@
 }
 
 // storeOutage silences the store for some seconds. Some daemons restart meanwhile, and
-// changes queue that are published one after the other once it is back.
+// changes queue that are published one after the other once it is back. It may come back from
+// a copy of the beginning of the outage, after several eras.
 func (injector *faultInjector) storeOutage(ctx context.Context) {
 	dep := injector.deployment
 	length := time.Duration(2000+injector.outages.IntN(7000)) * time.Millisecond
 	dep.logf("the store is silent for %v", length)
 	done := dep.history.beginFault()
+	from, eras := dep.store.Copy(), injector.restores.IntN(4)
 	dep.store.SetMode(emulator.Silent)
 	var restarts sync.WaitGroup
 	for h := range dep.hosts {
@@ -187,9 +199,18 @@
 	}
 	flow.Sleep(ctx, length)
 	restarts.Wait()
+	for range eras {
+		dep.store.Restore(from)
+	}
 	dep.store.SetMode(emulator.Serving)
 	done()
-	dep.logf("the store is back")
+	dep.logf("the store is back after %d restores", eras)
+	var writers sync.WaitGroup
+	defer writers.Wait()
+	if eras > 0 {
+		random := rand.New(rand.NewPCG(injector.restores.Uint64(), 5))
+		writers.Go(func() { dep.publishAgain(ctx, random) })
+	}
 	for range 1 + injector.outages.IntN(4) {
 		flow.Sleep(ctx, time.Duration(injector.outages.IntN(400))*time.Millisecond)
 		injector.changeRoute()
@@ -251,6 +272,8 @@
 // changeRoute changes the service of the route "read" to the other one.
 func (injector *faultInjector) changeRoute() {
 	dep := injector.deployment
+	dep.publishing.Lock()
+	defer dep.publishing.Unlock()
 	dep.mu.Lock()
 	defer dep.mu.Unlock()
 	route := &dep.configuration.Routes[0]
@@ -266,6 +289,7 @@
 // withdrawKey replaces a customer's key. Callers go on using the old key for some seconds.
 func (injector *faultInjector) withdrawKey(ctx context.Context, customer int) {
 	dep := injector.deployment
+	dep.publishing.Lock()
 	dep.mu.Lock()
 	old := dep.configuration.Customers[customer].Keys[0]
 	dep.configuration.Customers[customer].Keys = nil
@@ -273,6 +297,7 @@
 	dep.publish()
 	dep.history.addKeyWithdrawal(old, time.Now())
 	dep.mu.Unlock()
+	dep.publishing.Unlock()
 	flow.Sleep(ctx, 2*maxConfigDelay+undisturbedWindow)
 	dep.mu.Lock()
 	defer dep.mu.Unlock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -72,6 +72,7 @@
 		deployment: dep,
 		random:     rand.New(rand.NewPCG(options.Seed, 1)),
 		outages:    rand.New(rand.NewPCG(options.Seed, 2)),
+		restores:   rand.New(rand.NewPCG(options.Seed, 3)),
 	}
 	injector.run(ctx, options.FaultDuration)
 	dep.logf("all faults are over")
