--- a/internal/process/supervisor/pages.go
+++ b/internal/process/supervisor/pages.go
@@ -16,6 +16,7 @@
 	Zone       string          `json:"availability-zone"`
 	Region     string          `json:"region,omitempty"`
 	Service    string          `json:"service"`
+	Era        uint64          `json:"era"` // number of restores of the store
 	Revision   uint64          `json:"revision"`
 	Version    uint64          `json:"version"`
 	ProofAgeMs int64           `json:"age-ms"` // since the newest proof that the revision is current
@@ -32,7 +33,8 @@
 		Zone:       s.settings.AvailabilityZone,
 		Region:     s.settings.Sidecar.Zones[s.settings.AvailabilityZone],
 		Service:    *s.service.Load(),
-		Revision:   uint64(catalog.Revision),
+		Era:        catalog.Revision.Era(),
+		Revision:   catalog.Revision.Number(),
 		Version:    catalog.Version,
 		ProofAgeMs: s.follower.Age().Milliseconds(),
 		Hosts:      len(catalog.Hosts()),
