--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -46,6 +46,7 @@
 	{"the store was restored from a copy", "this daemon has heard of a new era of the store, from the store or another daemon; `eras` begin at once if several were missed", []string{"source", "era", "eras", "revision"}},
 	{"restrictions are kept that the store has lost", "backend servers that were draining or gone, and zones that were out of service, stay so after a restore of the store; the first ten keys are given", []string{"count", "keys", "revision"}},
 	{"restrictions from before the restore were lifted", "what was lost is written again (`written-again`), the server has restarted (`server-restarted`), or it is not back in time (`bound-passed`)", []string{"reason", "count", "keys"}},
+	{"cut off from the platform", "the entry of the host's backend server has expired, and neither the store answers nor is the server about to leave (`cut-off` true): servers whose entries expired around the same time stay in use; or the store answers again", []string{"cut-off", "revision", "version", "age-ms"}},
 	{"store item holds an unknown value", "a value in an item of the store is unknown; the cause says how it is read", []string{"step", "revision", "cause"}},
 	{"unreadable store item ignored", "an item that another program wrote to the store cannot be decoded", []string{"step", "revision", "cause"}},
 	{"owner does not answer", "the owner of a customer's rate, which is limited without it meanwhile, or of a service's retries could not be reached", []string{"step", "peer", "thing", "cause"}},
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -46,6 +46,10 @@
 	FirstStart  bool // the whole deployment starts for the first time
 	OnChange    func(*cataloger.Catalog)
 	OnRestore   func() // called for each era of the platform that begins; may be nil
+	// ServerHealthy reports whether the backend server of this host is healthy and not about
+	// to leave. If it is nil, the daemon does not use servers without an entry while it is
+	// cut off from the platform.
+	ServerHealthy func(context.Context) bool
 }
 
 // Follower maintains the catalog of a daemon.
@@ -72,6 +76,7 @@
 	turnChanged   chan struct{}        // closed and replaced when turn or rank changes
 	reading       reading
 	readingChange chan struct{} // closed and replaced when reading changes
+	cutOff        bool          // this host is cut off from the platform
 
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
 	background sync.WaitGroup // calls in progress
@@ -121,6 +126,7 @@
 	loops.Go(func() { f.readPlatform(ctx) })
 	loops.Go(func() { f.expireLapsed(ctx) })
 	loops.Go(func() { f.keepInTouch(ctx) })
+	loops.Go(func() { f.detectCutOff(ctx) })
 	loops.Go(func() { f.readOtherZones(ctx) })
 	loops.Go(func() { f.readInformed(ctx) })
 	f.askPeers(ctx)
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -31,6 +31,8 @@
 	provenAt flow.Time // when the revision was last proven to be current
 	contact  contact
 	era      era
+	departed map[string]departure
+	cutOff   bool // this daemon and its backend server are cut off from the platform
 }
 
 // New returns an empty State.
@@ -41,6 +43,7 @@
 		provenAt: flow.Never,
 		contact:  newContact(),
 		era:      newEra(),
+		departed: map[string]departure{},
 	}
 }
 
@@ -155,6 +158,7 @@
 		s.changes[change.Key] = change
 		return false
 	}
+	s.recordDeparture(now, known, change)
 	delete(s.lapsed, change.Key)
 	s.changes[change.Key] = change
 	return true
@@ -176,6 +180,7 @@
 // turns out to have been no outage. It also lifts restrictions whose bound has passed. It
 // reports whether there were any.
 func (s *State) Expire(now flow.Time) bool {
+	s.pruneDepartures(now)
 	lifted := s.lift(now)
 	return s.removeLapsed(now) || lifted
 }
@@ -263,6 +268,7 @@
 			zonesOut[change.ZoneOut] = true
 		}
 	}
+	servers = append(servers, s.departedInUse()...)
 	for _, kept := range s.era.kept {
 		if kept.ZoneOut != "" && kept.active() {
 			zonesOut[kept.ZoneOut] = true
--- a/internal/process/replicator/restriction_test.go
+++ b/internal/process/replicator/restriction_test.go
@@ -67,23 +67,23 @@
 		steps []step
 		want  string
 	}{
-		"after the restore":                      {nil, kept},
-		"just before the bound":                  {[]step{{6 * time.Second, steady(6*time.Second, first(85))}}, kept},
-		"servers after their bound":              {[]step{{6500 * time.Millisecond, steady(6500*time.Millisecond, first(85))}}, "5 [a b c] [x y]"},
-		"zones after their bound":                {[]step{{15 * time.Second, steady(15*time.Second, first(85))}}, "5 [a b c] [x]"},
-		"the bound does not pass in an outage":   {[]step{{time.Second, steady(time.Second, first(85))}, {20 * time.Second, steady(0, first(85))}}, kept},
-		"nor while the store is silent":          {[]step{{time.Second, steady(time.Second, first(85))}, {20 * time.Second, flow.Update{Revision: first(85), Age: 19 * time.Second}}}, kept},
-		"server drains again, later it is ready": {[]step{{time.Second, steady(time.Second, first(87), process("a", 10, true, first(86)))}, {time.Second, steady(time.Second, first(88), process("a", 10, false, first(88)))}}, "5 [a c] [x y]"},
-		"server registers in the new era":        {[]step{{time.Second, steady(time.Second, first(86), process("b", 10, false, first(86)))}}, "5 [b c] [x y]"},
-		"server leaves again":                    {[]step{{time.Second, steady(time.Second, first(86), deletion("servers/b", first(86)))}}, kept},
-		"zones are written again":                {[]step{{time.Second, steady(time.Second, first(87), zoneOut("y", first(86)), deletion("zones/x", first(87)))}}, "5 [c] [y]"},
-		"zone is written and put back":           {[]step{{time.Second, steady(time.Second, first(86), zoneOut("y", first(86)))}, {time.Second, steady(time.Second, first(87), deletion("zones/y", first(87)))}}, "5 [c] [x]"},
-		"configuration is written again":         {[]step{{time.Second, steady(time.Second, first(86), configuration(5, first(86)))}}, kept},
-		"second restore":                         {[]step{{time.Second, copyIn(2)}, {5 * time.Second, steady(5*time.Second, second(85))}}, kept},
+		"after the restore":                               {nil, kept},
+		"just before the bound":                           {[]step{{6 * time.Second, steady(6*time.Second, first(85))}}, kept},
+		"servers after their bound":                       {[]step{{6500 * time.Millisecond, steady(6500*time.Millisecond, first(85))}}, "5 [a b c] [x y]"},
+		"zones after their bound":                         {[]step{{15 * time.Second, steady(15*time.Second, first(85))}}, "5 [a b c] [x]"},
+		"the bound does not pass in an outage":            {[]step{{time.Second, steady(time.Second, first(85))}, {20 * time.Second, steady(0, first(85))}}, kept},
+		"nor while the store is silent":                   {[]step{{time.Second, steady(time.Second, first(85))}, {20 * time.Second, flow.Update{Revision: first(85), Age: 19 * time.Second}}}, kept},
+		"server drains again, later it is ready":          {[]step{{time.Second, steady(time.Second, first(87), process("a", 10, true, first(86)))}, {time.Second, steady(time.Second, first(88), process("a", 10, false, first(88)))}}, "5 [a c] [x y]"},
+		"server registers in the new era":                 {[]step{{time.Second, steady(time.Second, first(86), process("b", 10, false, first(86)))}}, "5 [b c] [x y]"},
+		"server leaves again":                             {[]step{{time.Second, steady(time.Second, first(86), deletion("servers/b", first(86)))}}, kept},
+		"zones are written again":                         {[]step{{time.Second, steady(time.Second, first(87), zoneOut("y", first(86)), deletion("zones/x", first(87)))}}, "5 [c] [y]"},
+		"zone is written and put back":                    {[]step{{time.Second, steady(time.Second, first(86), zoneOut("y", first(86)))}, {time.Second, steady(time.Second, first(87), deletion("zones/y", first(87)))}}, "5 [c] [x]"},
+		"configuration is written again":                  {[]step{{time.Second, steady(time.Second, first(86), configuration(5, first(86)))}}, kept},
+		"second restore":                                  {[]step{{time.Second, copyIn(2)}, {5 * time.Second, steady(5*time.Second, second(85))}}, kept},
 		"second restore after the drain is written again": {[]step{{time.Second, steady(time.Second, first(86), process("a", 10, true, first(86)))}, {2 * time.Second, copyIn(2)}}, kept},
 		"second restore after the bound":                  {[]step{{15 * time.Second, steady(15*time.Second, first(85))}, {16 * time.Second, copyIn(2)}}, "5 [a b c] [x]"},
-		"peer saw the store earlier in its era": {[]step{{0, flow.Update{Revision: first(85), EraFirst: first(5)}}}, "5 [b c] [x y]"}, // b and c are written after it
-		"peer has known of the era for long":    {[]step{{0, flow.Update{Revision: first(85), Unbroken: time.Minute, EraFirst: first(85), EraAge: time.Minute}}}, "5 [a b c] [x]"},
+		"peer saw the store earlier in its era":           {[]step{{0, flow.Update{Revision: first(85), EraFirst: first(5)}}}, "5 [b c] [x y]"}, // b and c are written after it
+		"peer has known of the era for long":              {[]step{{0, flow.Update{Revision: first(85), Unbroken: time.Minute, EraFirst: first(85), EraAge: time.Minute}}}, "5 [a b c] [x]"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -192,6 +192,9 @@
 		ApplyWithin: settings.Sidecar.ApplyWithin,
 		FirstStart:  settings.Sidecar.FirstStart == "true",
 	})
+	if settings.Sidecar.CutOffServers == "use" {
+		s.follower.ServerHealthy = func(ctx context.Context) bool { return s.executor.ServerHealthy(ctx) }
+	}
 	s.allowance = newAllowance(allowanceParts{
 		host:      host,
 		peerPort:  peerPort,
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -79,6 +79,7 @@
 	scheduler   *scheduler.Scheduler
 	breaker     *estimator.Breaker
 	server      string // id of the backend server that the state describes
+	service     string // of that server
 	endedServer string // id of a backend server that has ended but is still listed
 	nextID      uint64
 	waiters     map[uint64]waiter
@@ -173,7 +174,7 @@
 	if e.server != entry.ID {
 		e.Log.Info("backend server is new", "server", entry.ID, "service", entry.Service, "slots", entry.Slots,
 			"cold-ms", entry.ColdRemaining.Milliseconds(), "revision", catalog.Revision)
-		e.server = entry.ID
+		e.server, e.service = entry.ID, entry.Service
 		e.breaker = estimator.NewBreaker(now)
 		e.transport.CloseIdleConnections()
 	}
--- a/pkg/flow/errors.go
+++ b/pkg/flow/errors.go
@@ -38,6 +38,19 @@
 	return &Error{Step: step, Peer: peer, Err: err}
 }
 
+// ResponseError is the error of a call that was answered, but refused: the other end can be
+// reached.
+type ResponseError struct{ Status string }
+
+// Error returns a text with the status.
+func (e *ResponseError) Error() string { return "the response has status " + e.Status }
+
+// IsResponseError reports whether err's chain holds a ResponseError.
+func IsResponseError(err error) bool {
+	var response *ResponseError
+	return errors.As(err, &response)
+}
+
 // NotOwnerError is returned by a daemon that was called as the owner of a resource
 // and is not the owner, or may not act as one; the text says which. Calls between
 // daemons preserve the type.
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -12,15 +12,16 @@
 	Store         string // address of the platform's store, ip:port
 	Readiness     string // address for the platform's readiness checks, ip:port
 
-	RetryShare  float64 // maximum ratio of retries to requests, over all daemons
-	RetrySlack  float64 // retries allowed in a window beyond RetryShare, over all daemons
-	RetryWindow time.Duration
-	RateOverage float64       // share of a customer's rate that may be admitted beyond the rate
-	RateSlack   float64       // burst of requests that may be admitted in addition to RateOverage
-	MaxProofAge time.Duration // proof age from which requests are refused; 0 for never
-	ApplyWithin time.Duration // time within which a change must be in force on all hosts
-	FirstStart  string        // "true" if the whole deployment starts for the first time
-	StopGrace   time.Duration // time from the signal to stop until the process must have ended
+	RetryShare    float64 // maximum ratio of retries to requests, over all daemons
+	RetrySlack    float64 // retries allowed in a window beyond RetryShare, over all daemons
+	RetryWindow   time.Duration
+	RateOverage   float64       // share of a customer's rate that may be admitted beyond the rate
+	RateSlack     float64       // burst of requests that may be admitted in addition to RateOverage
+	MaxProofAge   time.Duration // proof age from which requests are refused; 0 for never
+	ApplyWithin   time.Duration // time within which a change must be in force on all hosts
+	CutOffServers string        // "use" or "leave"
+	FirstStart    string        // "true" if the whole deployment starts for the first time
+	StopGrace     time.Duration // time from the signal to stop until the process must have ended
 
 	Memory   ByteSize
 	LogLines int // maximum log lines per second
@@ -125,6 +126,11 @@
 		Help:   "Whether the whole deployment starts for the first time. The daemon then waits until hosts are listed before it reads the platform.",
 		target: func(s *Settings) any { return &s.Sidecar.FirstStart },
 	},
+	{
+		Name: "cut-off-servers", Type: SettingChoice, Default: "leave", Choices: []string{"leave", "use"},
+		Help:   "What a daemon does with backend servers whose entries expire while its own host is cut off from the platform: leave them, as all other daemons do, or use those whose daemons are cut off, too.",
+		target: func(s *Settings) any { return &s.Sidecar.CutOffServers },
+	},
 	{
 		Name: "stop-grace", Type: SettingDuration, Default: "6s", Min: "1s", Max: "1h",
 		Help:   "Time from the signal to stop until the process must have ended.",
