Hosts that are cut off from the store go on using their own backend servers

The entry of a server expires when its host loses the store. With a third of the hosts cut off for 12 s a third of the servers stood idle, while the callers of their hosts crowded onto the others. A daemon whose server's entry is deleted without notice now reads the store and, if that does not answer, asks its server whether it leaves; if not, it uses the servers that expired around the same time, and only daemons that are cut off do. Setting cut-off-servers.

--- a/internal/process/follower/cutoff.go
+++ b/internal/process/follower/cutoff.go
@@ -105,6 +105,9 @@
 	f.cutOff = cutOff
 	changed := f.state.SetCutOff(f.Clock.Now(), cutOff)
 	f.mu.Unlock()
+	if cutOff && !wasCutOff && f.OnCutOff != nil {
+		f.OnCutOff()
+	}
 	if cutOff != wasCutOff {
 		f.knowledgeLog().Info("cut off from the platform", "cut-off", cutOff)
 	}
--- a/internal/process/follower/fleet_test.go
+++ b/internal/process/follower/fleet_test.go
@@ -42,11 +42,13 @@
 	delay             time.Duration // one way
 	applyWithin       time.Duration // from the acknowledgement of a change
 	undisturbedWindow time.Duration // from the end of a disturbance; from then on applyWithin holds
+
+	serverHealthy func(context.Context) bool // see follower.Parts
 }
 
 var (
-	smallFleet = fleetSize{27, 4, 1400 * time.Microsecond, 2 * time.Second, 3 * time.Second}
-	largeFleet = fleetSize{353, 6, 500 * time.Microsecond, 3 * time.Second, 4 * time.Second}
+	smallFleet = fleetSize{daemons: 27, zones: 4, delay: 1400 * time.Microsecond, applyWithin: 2 * time.Second, undisturbedWindow: 3 * time.Second}
+	largeFleet = fleetSize{daemons: 353, zones: 6, delay: 500 * time.Microsecond, applyWithin: 3 * time.Second, undisturbedWindow: 4 * time.Second}
 )
 
 // bubbleClock is the clock of a synctest bubble.
@@ -208,7 +210,7 @@
 	one := follower.New(follower.Parts{
 		Host: h.ip, Zone: h.zone, PeerPort: fleetPeerPort, Platform: platform.NewStore(fleetStore, f.network.Host(h.ip), bubbleClock{}, logr.Discard()),
 		Dialer: watches, Calls: calls, Clock: bubbleClock{}, Log: log, Random: rand.New(rand.NewPCG(h.random.Uint64(), 2)), ApplyWithin: f.size.applyWithin,
-		OnChange: h.note,
+		OnChange: h.note, ServerHealthy: f.size.serverHealthy,
 	})
 	h.mu.Lock()
 	h.follower, h.startedAt, h.inForce = one, time.Now(), map[uint64]time.Time{}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -50,6 +50,7 @@
 	// to leave. If it is nil, the daemon does not use servers without an entry while it is
 	// cut off from the platform.
 	ServerHealthy func(context.Context) bool
+	OnCutOff      func() // called when this host is found to be cut off; may be nil
 }
 
 // Follower maintains the catalog of a daemon.
@@ -338,6 +339,7 @@
 	defer f.mu.Unlock()
 	configuration, servers, zonesOut := f.state.InForce()
 	catalog := cataloger.Build(f.state.Revision(), configuration, servers, zonesOut)
+	catalog.AddDeparted(f.state.DepartedInUse())
 	f.catalog.Store(catalog)
 	return catalog
 }
--- a/internal/process/replicator/departed.go
+++ b/internal/process/replicator/departed.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// departedInUse returns the departed servers that are in use.
-func (s *State) departedInUse() []*flow.ServerEntry {
+// DepartedInUse returns the departed servers that stay in use.
+func (s *State) DepartedInUse() []*flow.ServerEntry {
 	if !s.cutOff {
 		return nil
 	}
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -268,7 +268,6 @@
 			zonesOut[change.ZoneOut] = true
 		}
 	}
-	servers = append(servers, s.departedInUse()...)
 	for _, kept := range s.era.kept {
 		if kept.ZoneOut != "" && kept.active() {
 			zonesOut[kept.ZoneOut] = true
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -60,6 +60,7 @@
 		histograms: map[series]metrics.Histogram{},
 	}
 	m.addCounter(restoresSeries) // so that it is 0 before the first restore
+	m.addCounter(cutOffsSeries)
 	return m
 }
 
@@ -104,7 +105,13 @@
 // StoreRestored records that the platform's store was restored from a copy.
 func (m *Metrics) StoreRestored() { m.increment(restoresSeries) }
 
-var restoresSeries = series{name: "store-restores"}
+// CutOff records that the host is cut off from the platform's store.
+func (m *Metrics) CutOff() { m.increment(cutOffsSeries) }
+
+var (
+	restoresSeries = series{name: "store-restores"}
+	cutOffsSeries  = series{name: "cut-offs"}
+)
 
 // labelValues is the set of values of a label that have metrics of their own. It
 // is safe for concurrent use.
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -194,6 +194,7 @@
 	})
 	if settings.Sidecar.CutOffServers == "use" {
 		s.follower.ServerHealthy = func(ctx context.Context) bool { return s.executor.ServerHealthy(ctx) }
+		s.follower.OnCutOff = s.metrics.CutOff
 	}
 	s.allowance = newAllowance(allowanceParts{
 		host:      host,
--- a/internal/version/cataloger/cataloger.go
+++ b/internal/version/cataloger/cataloger.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// AddDeparted adds backend servers whose entries are gone but that stay in use. They do not
+// make their hosts listed: the daemons that are not cut off do not know them as owners of
+// resources. It must be called before the catalog is shared.
+func (c *Catalog) AddDeparted(servers []*flow.ServerEntry) {
+	for _, server := range servers {
+		if _, listed := c.byAddress[server.Address]; listed || c.Ready() && !c.namesService(server.Service) {
+			continue
+		}
+		c.byAddress[server.Address] = server
+		if !c.zonesOutOfService[server.Zone] {
+			list := append(c.eligible[server.Service], server)
+			slices.SortFunc(list, func(a, b *flow.ServerEntry) int { return strings.Compare(a.ID, b.ID) })
+			c.eligible[server.Service] = list
+		}
+	}
+}
+
 // Ready reports whether there is a configuration.
 func (c *Catalog) Ready() bool { return c.Version != 0 }
 
