--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -47,6 +47,11 @@
 	Regions     map[string]string // region of each availability zone; empty if all are in one
 	OnChange    func(*cataloger.Catalog)
 	OnRestore   func() // called for each era of the platform that begins; may be nil
+	// ServerHealthy reports whether the backend server of this host is healthy and not about
+	// to leave. If it is nil, the daemon does not use servers without an entry while it is
+	// cut off from the platform.
+	ServerHealthy func(context.Context) bool
+	OnCutOff      func() // called when this host is found to be cut off; may be nil
 }
 
 // Follower maintains the catalog of a daemon.
@@ -73,6 +78,7 @@
 	turnChanged   chan struct{}        // closed and replaced when turn or rank changes
 	reading       reading
 	readingChange chan struct{} // closed and replaced when reading changes
+	cutOff        bool          // this host is cut off from the platform
 
 	publishing sync.Mutex     // held until OnChange returns, so that catalogs are handed on in order
 	background sync.WaitGroup // calls in progress
@@ -122,6 +128,7 @@
 	loops.Go(func() { f.readPlatform(ctx) })
 	loops.Go(func() { f.expireLapsed(ctx) })
 	loops.Go(func() { f.keepInTouch(ctx) })
+	loops.Go(func() { f.detectCutOff(ctx) })
 	loops.Go(func() { f.readOtherZones(ctx) })
 	loops.Go(func() { f.readInformed(ctx) })
 	f.askPeers(ctx)
@@ -334,6 +341,7 @@
 	configuration, servers, zonesOut := f.state.InForce()
 	catalog := cataloger.Build(f.state.Revision(), configuration, servers, zonesOut)
 	catalog.SetRegions(f.Regions)
+	catalog.AddDeparted(f.state.DepartedInUse())
 	f.catalog.Store(catalog)
 	return catalog
 }
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -33,6 +33,8 @@
 	contact  contact
 	era      era
 	gaps     []gap // oldest first
+	departed map[string]departure
+	cutOff   bool // this daemon and its backend server are cut off from the platform
 }
 
 // gap is a span of revisions that a full update bridged. Items that were written and deleted
@@ -51,6 +53,7 @@
 		provenAt: flow.Never,
 		contact:  newContact(),
 		era:      newEra(),
+		departed: map[string]departure{},
 	}
 }
 
@@ -185,6 +188,7 @@
 		s.changes[change.Key] = change
 		return false
 	}
+	s.recordDeparture(now, known, change)
 	delete(s.lapsed, change.Key)
 	s.changes[change.Key] = change
 	return true
@@ -202,6 +206,7 @@
 // turns out to have been no outage. It also lifts restrictions whose bound has passed. It
 // reports whether there were any.
 func (s *State) Expire(now flow.Time) bool {
+	s.pruneDepartures(now)
 	lifted := s.lift(now)
 	return s.removeLapsed(now) || lifted
 }
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -195,6 +195,10 @@
 		FirstStart:  settings.Sidecar.FirstStart == "true",
 		Regions:     settings.Sidecar.Zones,
 	})
+	if settings.Sidecar.CutOffServers == parser.CutOffUse {
+		s.follower.ServerHealthy = func(ctx context.Context) bool { return s.executor.ServerHealthy(ctx) }
+		s.follower.OnCutOff = s.metrics.CutOff
+	}
 	s.allowance = newAllowance(allowanceParts{
 		host:      host,
 		peerPort:  peerPort,
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -23,8 +23,10 @@
 	RateSlack   float64       // burst of requests that may be admitted in addition to RateOverage
 	MaxProofAge time.Duration // proof age from which requests are refused; 0 for never
 	ApplyWithin time.Duration // time within which a change must be in force on all hosts
-	FirstStart  string        // "true" if the whole deployment starts for the first time
-	StopGrace   time.Duration // time from the signal to stop until the process must have ended
+	// CutOffServers is CutOffLeave or CutOffUse.
+	CutOffServers string
+	FirstStart    string        // "true" if the whole deployment starts for the first time
+	StopGrace     time.Duration // time from the signal to stop until the process must have ended
 
 	Memory   ByteSize
 	LogLines int // maximum log lines per second
@@ -33,6 +35,12 @@
 // SidecarRows returns the table of a sidecar's settings.
 func SidecarRows() []SettingRow { return sidecarRows }
 
+// Values of SidecarSettings.CutOffServers.
+const (
+	CutOffLeave = "leave"
+	CutOffUse   = "use"
+)
+
 var sidecarRows = []SettingRow{
 	{
 		Name: "host", Type: SettingName, Required: true,
@@ -134,6 +142,11 @@
 		Help:   "Whether the whole deployment starts for the first time. The daemon then waits until hosts are listed before it reads the platform.",
 		target: func(s *Settings) any { return &s.Sidecar.FirstStart },
 	},
+	{
+		Name: "cut-off-servers", Type: SettingChoice, Default: CutOffLeave, Choices: []string{CutOffLeave, CutOffUse},
+		Help:   "What a daemon does with backend servers whose entries expire while its own host is cut off from the platform: leave them, as all other daemons do, or use those whose daemons are cut off, too.",
+		target: func(s *Settings) any { return &s.Sidecar.CutOffServers },
+	},
 	{
 		Name: "stop-grace", Type: SettingDuration, Default: "6s", Min: "1s", Max: "1h",
 		Help:   "Time from the signal to stop until the process must have ended.",
