Choose between regions by one estimate of the cost

With several regions, free slots of the own region come first; once they have refused, a new plan compares a wait there with free slots and waits elsewhere, by latency, wait, the server's own speed (ServerLoad.MeanDuration, filled in from the scheduler), chance of failure and the bytes of the route (mean body and response). Spill has hysteresis, and the last slots of a server elsewhere cost more.

Search.RecordPlan records an offer that needs a new plan only once it is made.

--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -50,6 +50,7 @@
 	{"handshake failed", "a client that is no daemon of this deployment connected", []string{"step", "peer", "cause"}},
 	{"accept failed", "the host has no file descriptors left, or a listening address is gone", []string{"step"}},
 	{"a listener failed", "a listener ended with an error; the daemon stops", nil},
+	{"choice between regions changed", "requests for a service that find no free slot in this region go to other regions, or wait here again", []string{"service", "spilling"}},
 	{"allowed regions have no effect: the settings name no regions", "a route or a customer has allowed regions, and the setting `zones` is missing", []string{"version"}},
 	{"started", "the daemon serves requests", []string{"service", "zone", "region", "backend-server", "store"}},
 	{"stopping", "the daemon was told to stop", []string{"pending", "running"}},
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -77,6 +77,11 @@
 	}
 }
 
+// SentToRegion counts a request that is sent to a backend server in another region.
+func (m *Metrics) SentToRegion(region string) {
+	m.increment(series{name: "sent-to-region", first: label{"region", region}})
+}
+
 // Admitted records the end of a forwarded request. The reason is empty when it
 // was answered.
 func (m *Metrics) Admitted(server string, reason flow.Reason, latency time.Duration) {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -248,6 +248,15 @@
 	return sum / time.Duration(len(s.running))
 }
 
+// MeanRunning is the mean duration of the running entries' routes at this server, or 0 if
+// none runs.
+func (s *Scheduler) MeanRunning() time.Duration {
+	if len(s.running) == 0 {
+		return 0
+	}
+	return s.meanRunning()
+}
+
 // MeanDuration is the smoothed mean time that the server takes for a route.
 func (s *Scheduler) MeanDuration(route string) time.Duration {
 	if mean, ok := s.meanDurations[route]; ok {
--- a/internal/process/selector/search.go
+++ b/internal/process/selector/search.go
@@ -2,6 +2,8 @@
 
 package selector
 
+import "slices"
+
 // maxPlansPerSearch bounds the plans that are tried in one search.
 const maxPlansPerSearch = 5
 
@@ -13,8 +15,9 @@
 	// is better than a likely failure.
 	Repeatable bool
 
-	plans int
-	made  map[offerKey]bool
+	plans       int
+	made        map[offerKey]bool
+	distinguish bool // offers that may wait differ from those that may not; set by plans over several regions
 }
 
 // offerKey identifies offers that get the same response. A daemon that refused an
@@ -22,6 +25,7 @@
 type offerKey struct {
 	server string
 	forced bool
+	waits  bool
 }
 
 // RecordPlan records the offers of a plan as made, and reports whether the plan is
@@ -37,7 +41,33 @@
 	}
 	before := len(s.made)
 	for _, offer := range plan {
-		s.made[offerKey{server: offer.Server.ID, forced: offer.Forced && s.Repeatable}] = true
+		if offer.Replan {
+			break // it will be in the next plan
+		}
+		s.made[s.keyOf(offer)] = true
 	}
 	return len(s.made) > before
 }
+
+func (s *Search) keyOf(offer Offer) offerKey {
+	return offerKey{server: offer.Server.ID, forced: offer.Forced && s.Repeatable, waits: offer.MayWait && s.distinguish}
+}
+
+// hasNew reports whether a plan has an offer that was not made before.
+func (s *Search) hasNew(plan []Offer) bool {
+	return slices.ContainsFunc(plan, func(offer Offer) bool { return !s.made[s.keyOf(offer)] })
+}
+
+// slotOffers returns the number of offers made for a free slot, in plans over several
+// regions.
+func (s *Search) slotOffers() (count int) {
+	for key := range s.made {
+		if !key.waits && !key.forced {
+			count++
+		}
+	}
+	return count
+}
+
+// offeredSlot reports whether a server was offered the request for a free slot.
+func (s *Search) offeredSlot(server string) bool { return s.made[offerKey{server: server}] }
--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -77,17 +77,19 @@
 	backoff         time.Duration
 	lastTrial       flow.Time
 	lastUsed        flow.Time
+	meanDuration    time.Duration // smoothed mean duration of its requests as reported; 0 if unknown
 }
 
 // Selector keeps the last reported load and the reachability of each server.
 type Selector struct {
-	states map[string]*serverState // by server id
-	random *rand.Rand
+	states   map[string]*serverState // by server id
+	spilling map[string]bool         // by service: requests go to other regions rather than wait in this one
+	random   *rand.Rand
 }
 
 // New returns a Selector that has no reports.
 func New(random *rand.Rand) *Selector {
-	return &Selector{states: map[string]*serverState{}, random: random}
+	return &Selector{states: map[string]*serverState{}, spilling: map[string]bool{}, random: random}
 }
 
 // Offer describes how to offer a request to one server.
@@ -96,6 +98,9 @@
 	MayWait bool // the request may join the queue if no slot is free
 	Trial   bool // the request may run even if the server is suspected of failing
 	Forced  bool // the request may run even if a suspected server had a trial a moment ago
+	// Replan is set if a new plan should be made in place of this offer and those after it
+	// once all offers before it were refused: their loads decide on the rest.
+	Replan bool
 }
 
 // Query describes a request that needs a server.
@@ -105,6 +110,8 @@
 	Repeatable      bool            // see the function Repeatable
 	RetryBudgetLeft bool            // the retry budget allows a retry if this attempt fails
 	LargeResponse   bool            // the route's responses are large
+	Bytes           float64         // expected size of the request's body and its response
+	Search          *Search         // the offers made so far; nil if there are none
 }
 
 // Repeatable reports whether a request may run on a server that is suspected of
@@ -130,6 +137,9 @@
 		}
 	}
 	s.shuffle(usable)
+	if slices.ContainsFunc(query.Candidates, func(c Candidate) bool { return c.OtherRegion }) {
+		return s.planByCost(now, query, usable, suspected, unreachable)
+	}
 	var plan []Offer
 	explores := query.Repeatable && query.RetryBudgetLeft
 	if explores {
@@ -199,8 +209,7 @@
 	})
 	var offers []Offer
 	for _, candidate := range ordered {
-		state := s.state(now, candidate.Server.ID)
-		if state.reported && state.freeSlots <= 0 && now.Sub(state.reportedAt) < loadReportTTL {
+		if s.isFull(now, candidate) {
 			continue
 		}
 		offers = append(offers, Offer{Server: candidate.Server})
@@ -258,10 +267,7 @@
 }
 
 func (s *Selector) expectedWait(now flow.Time, candidate Candidate) time.Duration {
-	var wait time.Duration
-	if state := s.state(now, candidate.Server.ID); state.reported && now.Sub(state.reportedAt) < 8*loadReportTTL {
-		wait = state.queueWait
-	}
+	wait := s.reportedWait(now, candidate)
 	if !candidate.SameZone {
 		wait += crossZoneWaitPenalty
 	}
@@ -311,6 +317,7 @@
 	state := s.state(now, server)
 	state.reported, state.reportedAt, state.freeSlots, state.queueWait, state.grayProbability = true, now, load.FreeSlots, load.QueueWait, load.GrayProbability
 	state.skipUntil, state.backoff = flow.Never, 0
+	state.observeDuration(load.MeanDuration)
 }
 
 // MarkUnreachable records that the path to a server's daemon failed. The backoff
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -24,8 +24,8 @@
 	// which it is better to wait a little for a server of the own zone than to
 	// transfer the response from another zone.
 	largeResponseSize = 24 << 10
-	// responseSizeWeight is the weight of a new response in that mean.
-	responseSizeWeight = 0.3
+	// sizeWeight is the weight of a new response or body in the mean size of a route.
+	sizeWeight = 0.3
 )
 
 // attemptResult is the result of one attempt. Exactly one of response and refusal
@@ -41,6 +41,7 @@
 // is allowed.
 func (d *Dispatcher) dispatch(ctx context.Context, ex *exchange) *flow.Refusal {
 	d.countRequest(ex)
+	d.recordSize(d.bodySizes, ex.route.Name, int64(len(ex.body)))
 	tried := map[string]bool{}
 	var last attemptResult // result of the last attempt
 	for {
@@ -107,7 +108,7 @@
 func (d *Dispatcher) findSlot(ctx context.Context, ex *exchange, tried map[string]bool) (*transporter.Attempt, *flow.ServerEntry) {
 	search := selector.Search{Repeatable: ex.repeatable()}
 	for {
-		plan := d.plan(ex, tried)
+		plan := d.plan(ex, tried, &search)
 		if !search.RecordPlan(plan) {
 			return nil, nil
 		}
@@ -135,24 +136,32 @@
 	return !ex.route.Idempotent || ex.possibleRuns+1 >= max(ex.route.MaxAttempts, 1)
 }
 
-// plan returns the offers to make, in order.
-func (d *Dispatcher) plan(ex *exchange, tried map[string]bool) []selector.Offer {
+// plan returns the offers to make, in order. The search has the offers made before.
+func (d *Dispatcher) plan(ex *exchange, tried map[string]bool, search *selector.Search) []selector.Offer {
 	catalog := d.Catalog()
 	var candidates []selector.Candidate
 	allowed, _ := d.allowedServers(ex, catalog)
+	region := catalog.RegionOf(d.Zone)
 	for _, server := range allowed {
-		candidates = append(candidates, selector.Candidate{Server: server, SameZone: server.Zone == d.Zone})
+		candidates = append(candidates, selector.Candidate{Server: server, SameZone: server.Zone == d.Zone, OtherRegion: catalog.RegionOf(server.Zone) != region})
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
-	return d.selector.Plan(now, selector.Query{
+	before := d.selector.Spilling(ex.service)
+	plan := d.selector.Plan(now, selector.Query{
 		Candidates:      candidates,
 		Tried:           tried,
 		Repeatable:      ex.repeatable(),
 		RetryBudgetLeft: d.retryBudget(ex.service).HasRetry(now),
 		LargeResponse:   d.responseSizes[ex.route.Name] > largeResponseSize,
+		Bytes:           d.bodySizes[ex.route.Name] + d.responseSizes[ex.route.Name],
+		Search:          search,
 	})
+	if spilling := d.selector.Spilling(ex.service); spilling != before {
+		d.Log.Info("choice between regions changed", "service", ex.service, "spilling", spilling)
+	}
+	return plan
 }
 
 // run runs the request on a server that granted it a slot.
@@ -165,6 +174,9 @@
 	}
 	runCtx, expiry := d.withDeadline(parent, ex)
 	defer context.AfterFunc(d.aborted, expiry.Cancel)()
+	if catalog := d.Catalog(); catalog.RegionOf(server.Zone) != catalog.RegionOf(d.Zone) {
+		d.Observer.SentToRegion(catalog.RegionOf(server.Zone))
+	}
 	attempt.SetContext(runCtx)
 	attempt.Patient = ex.isLastRun()
 	answer, err := attempt.Run(runCtx, d.newRequest(ex))
@@ -312,6 +324,9 @@
 		response.Header = http.Header{}
 	}
 	if answer.Length > responder.BufferLimit || answer.Length < 0 {
+		if answer.Length >= 0 && d.Catalog().HasRegions() {
+			d.recordSize(d.responseSizes, ex.route.Name, answer.Length)
+		}
 		expiry.RemoveDeadline()
 		response.Body = &cancelingBody{ReadCloser: answer.Body, cancel: expiry.Cancel}
 		return attemptResult{response: response, mayHaveRun: true, reachedServer: true}
@@ -327,7 +342,7 @@
 		return attemptResult{refusal: refusal, mayHaveRun: true, reachedServer: true}
 	}
 	expiry.Cancel()
-	d.recordResponseSize(ex.route.Name, len(content))
+	d.recordSize(d.responseSizes, ex.route.Name, int64(len(content)))
 	response.Body = io.NopCloser(bytes.NewReader(content))
 	response.ContentLength = int64(len(content))
 	if responder.HasNoBody(ex.request.Method, answer.Status) {
@@ -336,11 +351,11 @@
 	return attemptResult{response: response, mayHaveRun: true, reachedServer: true}
 }
 
-// recordResponseSize updates the moving average of the size of a route's responses.
-func (d *Dispatcher) recordResponseSize(route string, size int) {
+// recordSize updates the moving average of a route's sizes of bodies or responses.
+func (d *Dispatcher) recordSize(sizes map[string]float64, route string, size int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.responseSizes[route] += responseSizeWeight * (float64(size) - d.responseSizes[route])
+	sizes[route] += sizeWeight * (float64(size) - sizes[route])
 }
 
 // cancelingBody is a response body whose Close cancels the context of its attempt.
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 	// Served is called when a caller's request ends. The reason is that of a refusal,
 	// or "" for a response of a backend server.
 	Served(customer, route string, reason flow.Reason, offers int, latency time.Duration)
+	// SentToRegion is called when a request is sent to a backend server in another region.
+	SentToRegion(region string)
 }
 
 // Parts are the dependencies and limits of a Dispatcher.
@@ -121,6 +123,7 @@
 	retryBudgets  map[string]*retrier.Budget // by service
 	maxDaemons    int                        // maximum number ever known, by which the budgets are divided
 	responseSizes map[string]float64         // moving average in bytes, by route
+	bodySizes     map[string]float64         // of requests, likewise
 }
 
 // New returns a Dispatcher without any state of the backend servers.
@@ -136,6 +139,7 @@
 		selector:      selector.New(parts.Random),
 		retryBudgets:  map[string]*retrier.Budget{},
 		responseSizes: map[string]float64{},
+		bodySizes:     map[string]float64{},
 	}
 }
 
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -146,6 +146,7 @@
 type discardObserver struct{}
 
 func (discardObserver) Served(string, string, flow.Reason, int, time.Duration) {}
+func (discardObserver) SentToRegion(string)                                    {}
 
 func newFixture(t *testing.T, testServers ...*testServer) *fixture {
 	t.Helper()
--- a/internal/request/dispatcher/offer.go
+++ b/internal/request/dispatcher/offer.go
@@ -25,7 +25,8 @@
 }
 
 // offerInTurn makes the offers of a plan in order, and returns the first attempt that
-// is granted a slot, with its server, or nil. If a daemon is slow to reply, the offer is
+// is granted a slot, with its server, or nil if there is none or a new plan should be made
+// with the loads that the refusals reported. If a daemon is slow to reply, the offer is
 // hedged: the next one is made as well. The other offers are withdrawn. A request runs
 // only once a slot is granted and the body is sent, so it may be offered to many servers
 // and still runs on one.
@@ -69,6 +70,9 @@
 				pending--
 				d.countInFlight(r.server, -1)
 				d.recordRefusedOffer(ctx, ex, r.server, r.err)
+				if pending == 0 && next < len(plan) && plan[next].Replan {
+					return nil, nil
+				}
 				timer.Reset(0)
 			}
 		}
--- a/internal/request/dispatcher/regions_test.go
+++ b/internal/request/dispatcher/regions_test.go
@@ -132,3 +132,26 @@
 	is.Equal(f.servers[0].runs+f.servers[1].runs, 0)
 	is.Equal(f.servers[2].runs, 1)
 }
+
+// TestFullRegionLeavesRequestsToAnother refuses all offers in the region of the ingress. The
+// request must find the free server in another region, by a new plan, before its deadline.
+func TestFullRegionLeavesRequestsToAnother(t *testing.T) {
+	for _, path := range []string{"/read/", "/book/"} {
+		is := is.New(t)
+		f := regionFixture(t)
+		f.servers[0].refuse, f.servers[1].refuse = flow.ReasonBusy, flow.ReasonBusy
+		f.restrict("abc", nil, nil)
+		for range 5 {
+			status, _, _ := f.send(t, http.MethodPost, path, nil)
+			is.Equal(status, 200)
+		}
+		is.Equal(f.servers[2].runs, 5)
+		near := regionFixture(t)
+		near.restrict("abc", nil, nil)
+		for range 5 {
+			status, _, _ := near.send(t, http.MethodPost, path, nil)
+			is.Equal(status, 200)
+		}
+		is.Equal(len(near.servers[2].offers), 0) // nothing leaves the region without need
+	}
+}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -412,6 +412,7 @@
 		FreeSlots:       e.scheduler.FreeSlots(),
 		QueueWait:       e.scheduler.ExpectedWait(),
 		GrayProbability: e.breaker.GrayProbability(e.Clock.Now()),
+		MeanDuration:    e.scheduler.MeanRunning(),
 	}
 }
 
--- a/internal/simulator/pattern.go
+++ b/internal/simulator/pattern.go
@@ -39,6 +39,7 @@
 	Name          string           `json:"name"`
 	Servers       int              `json:"servers"`
 	Slots         int              `json:"slots"`
+	Regions       int              `json:"regions"`     // number of regions that have its servers; 0 for all
 	ErrorShare    float64          `json:"error-share"` // share of the requests that fail at random
 	GrayShare     float64          `json:"gray-share"`  // share of the servers that are gray at any time
 	GrayInterval  planner.Duration `json:"gray-turn"`   // after which each server becomes gray or healthy at random
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -22,6 +22,7 @@
 	MeanDuration(route string) time.Duration
 	FreeSlots() int
 	ExpectedWait() time.Duration
+	MeanRunning() time.Duration
 	Queued() int
 	RetryShare() float64
 	SetCold(now, until flow.Time, perSecond float64)
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -115,6 +115,9 @@
 		Tried:           r.tried,
 		Repeatable:      r.repeatable(),
 		RetryBudgetLeft: sim.daemonBudget(r).HasRetry(now),
+		Bytes:           float64(r.kind.Body + r.kind.Response),
+		LargeResponse:   r.kind.Response > largeResponse,
+		Search:          r.search,
 	})
 	if !r.search.RecordPlan(r.plan) {
 		sim.endRequest(now, r, r.finalOutcome(outcomeRefused))
@@ -141,7 +144,7 @@
 	if r.ended {
 		return
 	}
-	if len(r.plan) == 0 {
+	if len(r.plan) == 0 || r.plan[0].Replan {
 		sim.offerByNewPlan(now, r)
 		return
 	}
@@ -207,5 +210,6 @@
 func (sim *simulation) reportLoad(now flow.Time, r *request, s *server) {
 	r.ingress.selector.UpdateLoad(now, s.entry.ID, flow.ServerLoad{
 		FreeSlots: s.queue.FreeSlots(), QueueWait: s.queue.ExpectedWait(), GrayProbability: sim.grayProbability(now, s),
+		MeanDuration: s.queue.MeanRunning(),
 	})
 }
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -122,16 +122,18 @@
 	err := sim.RunUntil(ctx, end, func() bool { return false })
 	result := sim.counters.result(policy.Name, seed)
 	result.Bounds, result.Traffic = sim.computeBounds(), sim.traffic
+	result.Traffic.Busiest = sim.busiest()
 	return result, err
 }
 
 func (sim *simulation) addServers(service *Service) {
 	for range service.Servers {
 		number := len(sim.servers)
-		zone := "zone-" + strconv.Itoa(number%sim.pattern.Zones)
+		zoneNumber := sim.zoneNumber(number, service)
+		zone := "zone-" + strconv.Itoa(zoneNumber)
 		host := &ingress{
 			zone:      zone,
-			region:    number % sim.pattern.Zones % max(sim.pattern.Regions, 1),
+			region:    sim.regionOf(zoneNumber),
 			selector:  selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
 			budgets:   map[string]*retrier.Budget{},
 			awayUntil: flow.Never,
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// TestRequestsStayInTheirRegion guards against the price of bytes between regions while each
+// region has room for its own requests: 10 in 100 runs were in another one when the selector
+// knew only whether a server was in the same zone.
+func TestRequestsStayInTheirRegion(t *testing.T) {
+	is := is.New(t)
+	result, err := simulator.Run(t.Context(), readPattern(t, "regions-usual-load"), findPolicy(t, simulator.DaemonPolicy), 1)
+	is.NoErr(err)
+	distant := float64(result.Traffic.RegionRuns) / float64(result.Traffic.Runs)
+	inTime := float64(result.All.InTime) / float64(result.All.Owed)
+	t.Logf("runs in other regions %.4f, in time %.4f", distant, inTime)
+	is.True(distant < 0.04)
+	is.True(inTime > 0.96)
+}
+
 // TestGrayServersCostLittle compares a low load with and without gray servers. The aim
 // of the deployments is that gray servers cost less than 3% of the requests.
 func TestGrayServersCostLittle(t *testing.T) {
--- a/internal/simulator/traffic.go
+++ b/internal/simulator/traffic.go
@@ -10,6 +10,8 @@
 	// headBytes are the bytes of the head of a request or a response between daemons, and
 	// offerBytes those of an offer with its answer.
 	headBytes, offerBytes = 600, 400
+	// largeResponse is the size above which the daemon considers a route's responses large.
+	largeResponse = 24 << 10
 )
 
 // Traffic counts what leaves its availability zone.
@@ -22,6 +24,40 @@
 	Runs          int `json:"runs"`
 	RegionRuns    int `json:"region-runs"`
 	FirstTwoFound int `json:"first-two-found"` // runs found with two offers or fewer
+	// Busiest is the greatest ratio of the runs on one server to the mean of its service.
+	Busiest float64 `json:"busiest"`
+}
+
+// busiest returns the greatest ratio of the requests that reached one server to the mean of
+// its service.
+func (sim *simulation) busiest() (most float64) {
+	ofServer, ofService, servers := map[*server]float64{}, map[*Service]float64{}, map[*Service]float64{}
+	for _, arrived := range sim.recorder.arrivals {
+		ofServer[arrived.server]++
+		ofService[arrived.server.service]++
+	}
+	for _, s := range sim.servers {
+		servers[s.service]++
+	}
+	for s, count := range ofServer {
+		most = max(most, count/ofService[s.service]*servers[s.service])
+	}
+	return most
+}
+
+// regionOf returns the region of a zone.
+func (sim *simulation) regionOf(zone int) int { return zone % max(sim.pattern.Regions, 1) }
+
+// zoneNumber returns the zone of a server of a service: the zones take turns, as far as the
+// service has servers in their regions.
+func (sim *simulation) zoneNumber(server int, service *Service) int {
+	var zones []int
+	for zone := range sim.pattern.Zones {
+		if service.Regions == 0 || sim.regionOf(zone) < service.Regions {
+			zones = append(zones, zone)
+		}
+	}
+	return zones[server%len(zones)]
 }
 
 // roundTrip returns the round-trip time between the ingress of a request and a server.
