--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -42,6 +42,7 @@
 	truncate bool        // the response body is truncated
 	hang     bool        // the run lasts until its context ends
 	wait     bool        // the request waits for a slot until its context ends
+	silent   bool        // offers are not answered until their context ends
 	gray     float64     // reported probability that the server fails most of its work
 	delay    time.Duration
 	onAdmit  func() // called before an offer is granted; may be nil
@@ -56,6 +57,10 @@
 type testExecutor struct{ *testServer }
 
 func (e testExecutor) Admit(ctx context.Context, offer *transporter.Offer, onQueued func()) (transporter.Slot, error) {
+	if e.silent {
+		<-ctx.Done()
+		return nil, &flow.Refusal{Reason: flow.ReasonCancelled}
+	}
 	if e.wait {
 		onQueued()
 		<-ctx.Done()
--- a/internal/request/dispatcher/regions_test.go
+++ b/internal/request/dispatcher/regions_test.go
@@ -155,3 +155,24 @@
 		is.Equal(len(near.servers[2].offers), 0) // nothing leaves the region without need
 	}
 }
+
+// TestSilentRegionIsRefusedEarly cuts the only allowed region off, so that offers get no
+// answer at all. The caller must be told long before the deadline, with the time after which
+// the region is tried again.
+func TestSilentRegionIsRefusedEarly(t *testing.T) {
+	is := is.New(t)
+	f := regionFixture(t)
+	f.restrict("abc", []string{"mombasa"}, nil)
+	f.servers[2].silent = true
+	for _, path := range []string{"/read/", "/book/"} {
+		f.catalog.Load().Route("a.example", path).Timeout = 10 * time.Second
+		for range 2 {
+			began := time.Now()
+			status, _, header := f.send(t, http.MethodPost, path, func(r *http.Request) { r.Header.Set(names.TimeLeft, "20000") })
+			t.Logf("%s refused after %s, Retry-After %s", path, time.Since(began).Round(time.Millisecond), header.Get("Retry-After"))
+			is.Equal(status, 503)
+			is.Equal(header.Get(flow.HeaderReason), string(flow.ReasonRegionUnavailable))
+			is.True(time.Since(began) < 3*time.Second)
+		}
+	}
+}
