--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -23,6 +23,8 @@
 	// between two, in milliseconds: those of the deployments, rounded up.
 	sameZoneRoundTrip  = flow.Time(1)
 	crossZoneRoundTrip = flow.Time(3)
+	// crossRegionRoundTrip is the round-trip time between two regions in milliseconds.
+	crossRegionRoundTrip = flow.Time(24)
 	// queueInterval is the time in milliseconds after which a queue is advanced if nothing
 	// else happens. It is that of the daemon.
 	queueInterval = flow.Time(100)
@@ -58,11 +60,13 @@
 	lastID        uint64
 	counters      *counters
 	recorder      *recorder
+	traffic       Traffic
 }
 
 // ingress is the part of a daemon that sends requests to backend servers.
 type ingress struct {
 	zone      string
+	region    int
 	selector  *selector.Selector
 	budgets   map[string]*retrier.Budget
 	awayUntil flow.Time // its daemon is unreachable until then
@@ -117,16 +121,19 @@
 	end := flow.Time(0).Add(pattern.Duration.AsDuration() + drainTime)
 	err := sim.RunUntil(ctx, end, func() bool { return false })
 	result := sim.counters.result(policy.Name, seed)
-	result.Bounds = sim.computeBounds()
+	result.Bounds, result.Traffic = sim.computeBounds(), sim.traffic
+	result.Traffic.Busiest = sim.busiest()
 	return result, err
 }
 
 func (sim *simulation) addServers(service *Service) {
 	for range service.Servers {
 		number := len(sim.servers)
-		zone := "zone-" + strconv.Itoa(number%sim.pattern.Zones)
+		zoneNumber := sim.zoneNumber(number, service)
+		zone := "zone-" + strconv.Itoa(zoneNumber)
 		host := &ingress{
 			zone:      zone,
+			region:    sim.regionOf(zoneNumber),
 			selector:  selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
 			budgets:   map[string]*retrier.Budget{},
 			awayUntil: flow.Never,
@@ -212,13 +219,13 @@
 }
 
 // candidates returns the servers of a service that may get requests.
-func (sim *simulation) candidates(now flow.Time, service, zone string) []selector.Candidate {
+func (sim *simulation) candidates(now flow.Time, service string, from *ingress) []selector.Candidate {
 	var candidates []selector.Candidate
 	for _, s := range sim.servers {
 		inFirstZone := s.host.zone == sim.servers[0].host.zone
 		outOfService := sim.pattern.activeTrouble(now, ZoneOut, service) != nil || sim.pattern.activeTrouble(now, ColdReturn, service) != nil
 		if s.service.Name == service && !(inFirstZone && outOfService) {
-			candidates = append(candidates, selector.Candidate{Server: s.entry, SameZone: s.host.zone == zone})
+			candidates = append(candidates, selector.Candidate{Server: s.entry, SameZone: s.host.zone == from.zone, OtherRegion: s.host.region != from.region})
 		}
 	}
 	return candidates
