--- a/internal/process/ratelimiter/ratelimiter.go
+++ b/internal/process/ratelimiter/ratelimiter.go
@@ -155,35 +155,3 @@
 	share := standaloneShare / float64(max(daemons, 1))
 	return Rate{PerSecond: rate.PerSecond * overage * share, Burst: (rate.Burst*overage + slack) * share}
 }
-
-// The parts of a retry budget. The remainder covers the calls that retried
-// requests make again, and the busiest seconds of several daemons coinciding.
-const (
-	// perDaemonShare is the part of the budget's share that daemons spend locally.
-	perDaemonShare = 0.72
-	// perDaemonSlack is the part of the slack that is divided evenly among daemons.
-	perDaemonSlack = 0.08
-	// pooledSlack is the part of the slack that the owner of a service hands out
-	// to daemons that have used up their own.
-	pooledSlack = 0.64
-)
-
-// RetryBudget bounds the retries of all daemons together.
-type RetryBudget struct {
-	Share  float64 // retries as a share of the requests for a service
-	Slack  float64 // retries in a window in addition to the share
-	Window time.Duration
-}
-
-// PerDaemon returns the part of the budget of one of the given number of daemons:
-// a share of its own requests, and a number of additional retries in a window.
-func (b RetryBudget) PerDaemon(daemons int) (share, slack float64) {
-	return b.Share * perDaemonShare, b.Slack * perDaemonSlack / float64(max(daemons, 1))
-}
-
-// PoolRate returns the rate of the bucket from which the owner of a service hands
-// out retries. In any window it hands out at most the pooled part of the slack.
-func (b RetryBudget) PoolRate() Rate {
-	pooled := b.Slack * pooledSlack
-	return Rate{PerSecond: pooled / 2 / b.Window.Seconds(), Burst: pooled / 2}
-}
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// Retried records a draw on the retry budget of a service.
+func (m *Metrics) Retried(service string, granted bool) {
+	result := "granted"
+	if !granted {
+		result = "denied"
+	}
+	m.increment(series{"retries", label{"service", service}, label{"result", result}})
+}
+
 // CallServed records the end of a call from another daemon.
 func (m *Metrics) CallServed(call string, err error) {
 	result := "answered"
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -267,17 +267,6 @@
 // Running is the number of running entries.
 func (s *Scheduler) Running() int { return len(s.running) }
 
-// RetryShare is the share of retries among the running entries.
-func (s *Scheduler) RetryShare() float64 {
-	retries := 0
-	for _, r := range s.running {
-		if r.entry.IsRetry {
-			retries++
-		}
-	}
-	return float64(retries) / float64(max(len(s.running), 1))
-}
-
 // Finish ends a running entry. A positive duration is that of a successful
 // response and updates the mean of its route; others leave the mean unchanged.
 func (s *Scheduler) Finish(id uint64, duration time.Duration) {
--- a/internal/process/supervisor/allowance.go
+++ b/internal/process/supervisor/allowance.go
@@ -35,16 +35,16 @@
 }
 
 type allowanceParts struct {
-	host      string
-	peerPort  string
-	overage   float64          // tolerated excess over a rate, as a share of it
-	slack     float64          // tolerated excess in requests, on top of that share
-	retryRate ratelimiter.Rate // of the retry pool of each service
-	dialer    peerCaller
-	clock     flow.Clock
-	catalog   func() *cataloger.Catalog
-	inTouch   func() bool // whether this host may act as an owner or deputy
-	log       logr.Logger
+	host     string
+	peerPort string
+	overage  float64                 // tolerated excess over a rate, as a share of it
+	slack    float64                 // tolerated excess in requests, on top of that share
+	retries  ratelimiter.RetryBudget // of each service
+	dialer   peerCaller
+	clock    flow.Clock
+	catalog  func() *cataloger.Catalog
+	inTouch  func() bool // whether this host may act as an owner or deputy
+	log      logr.Logger
 }
 
 // allowance implements dispatcher.Allowance. It keeps the token buckets that
@@ -58,12 +58,13 @@
 
 	mu             sync.Mutex
 	ownedBuckets   *ratelimiter.Buckets
-	deputyBuckets  *ratelimiter.Buckets // as deputy of owners that other daemons cannot reach
-	localBuckets   *ratelimiter.Buckets // of this daemon alone, when it reaches neither owner nor deputy
-	retryPools     *ratelimiter.Buckets // by service
-	backoffUntil   map[string]flow.Time // by host: daemons that did not answer and are not called before this time
-	silent         map[string]silence   // by host: daemons that did not answer the last call
-	deputyOf       map[string]flow.Time // by owner: when this host last granted in its place
+	deputyBuckets  *ratelimiter.Buckets              // as deputy of owners that other daemons cannot reach
+	localBuckets   *ratelimiter.Buckets              // of this daemon alone, when it reaches neither owner nor deputy
+	retryPools     map[string]*ratelimiter.RetryPool // by service, of which this host is or was the owner
+	retryLedgers   map[string]*ratelimiter.Ledger    // by service: requests that are not reported to its owner yet
+	backoffUntil   map[string]flow.Time              // by host: daemons that did not answer and are not called before this time
+	silent         map[string]silence                // by host: daemons that did not answer the last call
+	deputyOf       map[string]flow.Time              // by owner: when this host last granted in its place
 	claims         *claimer.Claims
 	outOfTouch     bool                 // logged last
 	claimedBy      *cataloger.Catalog   // by which the owned resources are claimed; nil if they must be claimed anew
@@ -79,7 +80,8 @@
 		ownedBuckets:   ratelimiter.NewBuckets(),
 		deputyBuckets:  ratelimiter.NewBuckets(),
 		localBuckets:   ratelimiter.NewBuckets(),
-		retryPools:     ratelimiter.NewBuckets(),
+		retryPools:     map[string]*ratelimiter.RetryPool{},
+		retryLedgers:   map[string]*ratelimiter.Ledger{},
 		backoffUntil:   map[string]flow.Time{},
 		silent:         map[string]silence{},
 		deputyOf:       map[string]flow.Time{},
@@ -93,9 +95,10 @@
 // DrawRequest requests one token of a customer's rate, or of a service's retry
 // pool, from the owner.
 type DrawRequest struct {
-	Customer     string `msgpack:"c"`
-	Deputy       bool   `msgpack:"d,omitempty"` // the receiver grants as deputy, because the owner did not answer
-	RetryService string `msgpack:"r,omitempty"` // set instead of Customer: the service whose retry pool is drawn on
+	Customer     string                   `msgpack:"c"`
+	Deputy       bool                     `msgpack:"d,omitempty"` // the receiver grants as deputy, because the owner did not answer
+	RetryService string                   `msgpack:"r,omitempty"` // set instead of Customer: the service whose retry pool is drawn on
+	Counts       []ratelimiter.RetryCount `msgpack:"q,omitempty"` // requests for that service that the sender has not reported before
 }
 
 // DrawAnswer says whether a token was granted, and otherwise after how many
@@ -150,17 +153,23 @@
 	if peer == "" || !a.mayCall(peer) {
 		return false, 0, false
 	}
+	answer, err := a.callOwner(ctx, peer, request)
+	return answer.Granted, time.Duration(answer.RetryAfterMs) * time.Millisecond, err == nil
+}
+
+// callOwner makes a call to an owner or a deputy.
+func (a *allowance) callOwner(ctx context.Context, peer string, request DrawRequest) (DrawAnswer, error) {
 	callContext, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var answer DrawAnswer
 	if err := a.dialer.Call(callContext, peer+":"+a.peerPort, messenger.CallDraw, request, &answer); err != nil {
 		a.backOff(ctx, peer, request.Customer+request.RetryService, err)
-		return false, 0, false
+		return DrawAnswer{}, err
 	}
 	a.mu.Lock()
 	a.noteAnswer(peer)
 	a.mu.Unlock()
-	return answer.Granted, time.Duration(answer.RetryAfterMs) * time.Millisecond, true
+	return answer, nil
 }
 
 // takeAsDeputy takes a token of a customer whose owner the requesting daemon
@@ -227,62 +236,14 @@
 	return granted, after, true
 }
 
-// Retry implements dispatcher.Allowance. When the pool's owner does not answer,
-// no retry is granted.
-func (a *allowance) Retry(ctx context.Context, service string) bool {
-	owner, _ := a.catalog().OwnerOf(retryResource(service))
-	var granted bool
-	var after time.Duration
-	if owner == a.host {
-		granted, after, _ = a.takeRetry(service)
-	} else if answer, wait, ok := a.requestToken(ctx, owner, DrawRequest{RetryService: service}); ok {
-		granted, after = answer, wait
-	}
-	if !granted {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.poolEmptyUntil[service] = a.clock.Now().Add(after)
-	}
-	return granted
-}
-
-// HasRetry implements dispatcher.Allowance. It makes no call.
-func (a *allowance) HasRetry(service string) bool {
-	owner, _ := a.catalog().OwnerOf(retryResource(service))
-	if owner != a.host && !a.mayCall(owner) {
-		return false
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if owner == a.host && !a.claims.Holds(retryResource(service)) {
-		return false
-	}
-	until, empty := a.poolEmptyUntil[service]
-	return !empty || !a.clock.Now().Before(until)
-}
-
-// takeRetry takes a token out of the retry pool of a service that this host
-// owns. ok is false while it may not use the pool.
-func (a *allowance) takeRetry(service string) (granted bool, retryAfter time.Duration, ok bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.clock.Now()
-	if !a.updateClaims(now, a.catalog()) || !a.claims.Holds(retryResource(service)) {
-		return false, claimInterval, false
-	}
-	granted, retryAfter = a.retryPools.Take(now, service, a.retryRate)
-	return granted, retryAfter, true
-}
-
 func (a *allowance) sweep() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	a.ownedBuckets.Sweep(now, idleExpiry)
 	a.localBuckets.Sweep(now, idleExpiry)
-	a.retryPools.Sweep(now, idleExpiry)
+	a.sweepRetries(now)
 	maps.DeleteFunc(a.silent, func(_ string, s silence) bool { return now.Sub(s.lastFailure) > idleExpiry })
-	maps.DeleteFunc(a.poolEmptyUntil, func(_ string, until flow.Time) bool { return now.After(until) })
 }
 
 // endpoints returns the handlers of the calls that other daemons may make.
@@ -310,7 +271,7 @@
 		if owner, _ := catalog.OwnerOf(retryResource(request.RetryService)); owner != a.host {
 			return DrawAnswer{}, flow.NotOwnerError("the daemon is not the owner of the service's retries")
 		}
-		granted, retryAfter, _ := a.takeRetry(request.RetryService)
+		granted, retryAfter := a.takeRetry(request.RetryService, request.Counts)
 		return DrawAnswer{Granted: granted, RetryAfterMs: retryAfter.Milliseconds()}, nil
 	}
 	customer := catalog.Customer(request.Customer)
--- a/internal/process/supervisor/ownership.go
+++ b/internal/process/supervisor/ownership.go
@@ -159,7 +159,7 @@
 // the previous owner left, or with little if that is not known.
 func (a *allowance) startBucket(now flow.Time, catalog *cataloger.Catalog, settled claimer.Settled) {
 	if service, ok := strings.CutPrefix(settled.Resource, retryPrefix); ok {
-		a.retryPools.Restart(now, service, a.retryRate, settled.Level)
+		a.retryPool(now, service).Restart(now, settled.Level)
 		return
 	}
 	customer := catalog.Customer(strings.TrimPrefix(settled.Resource, ratePrefix))
@@ -176,7 +176,7 @@
 // levelOf returns how many tokens are left of a resource that this host holds.
 func (a *allowance) levelOf(now flow.Time, resource string) float64 {
 	if service, ok := strings.CutPrefix(resource, retryPrefix); ok {
-		return a.retryPools.Level(now, service)
+		return a.retryPool(now, service).Level(now)
 	}
 	return a.ownedBuckets.Level(now, strings.TrimPrefix(resource, ratePrefix))
 }
--- a/internal/process/supervisor/ownership_test.go
+++ b/internal/process/supervisor/ownership_test.go
@@ -132,7 +132,7 @@
 	h.catalog, h.provenAt = cataloger.Build(0, nil, nil, nil), flow.Never
 	clear(h.heardFrom)
 	h.allowance = newAllowance(allowanceParts{
-		host: h.name, peerPort: "1", overage: simulatedOverage, slack: simulatedSlack, retryRate: simulatedBudget.PoolRate(),
+		host: h.name, peerPort: "1", overage: simulatedOverage, slack: simulatedSlack, retries: simulatedBudget,
 		dialer: simulatedCaller{s, h}, clock: s, catalog: func() *cataloger.Catalog { return h.catalog },
 		inTouch: func() bool { return s.inTouch(h) }, log: logr.Discard(),
 	})
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -29,7 +29,6 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/request/dispatcher"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/executor"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/responder"
-	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 	"github.com/coltsfootflow/coltsfootflow/pkg/parser"
@@ -192,16 +191,16 @@
 		FirstStart:  settings.Sidecar.FirstStart == "true",
 	})
 	s.allowance = newAllowance(allowanceParts{
-		host:      host,
-		peerPort:  peerPort,
-		overage:   settings.Sidecar.RateOverage,
-		slack:     settings.Sidecar.RateSlack,
-		retryRate: s.retryBudget().PoolRate(),
-		dialer:    callDialer,
-		clock:     s.clock,
-		catalog:   s.follower.Catalog,
-		inTouch:   s.follower.InTouch,
-		log:       s.log.WithName("rates"),
+		host:     host,
+		peerPort: peerPort,
+		overage:  settings.Sidecar.RateOverage,
+		slack:    settings.Sidecar.RateSlack,
+		retries:  s.retryBudget(),
+		dialer:   callDialer,
+		clock:    s.clock,
+		catalog:  s.follower.Catalog,
+		inTouch:  s.follower.InTouch,
+		log:      s.log.WithName("rates"),
 	})
 	s.executor = executor.New(executor.Parts{
 		Host:     host,
@@ -226,8 +225,7 @@
 		Allowance:   s.allowance,
 		Observer:    s.metrics,
 		CallFailed:  s.executor.CallFailed,
-		RetryShare:  s.executor.RetryShare,
-		RetryBudget: s.localRetryOptions,
+		Charger:     s.executor,
 		Log:         s.log.WithName("ingress"),
 		Random:      newRandom(2),
 	})
@@ -259,13 +257,6 @@
 	return ratelimiter.RetryBudget{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
 }
 
-// localRetryOptions returns the part of the retry budget that one of a number
-// of daemons may spend on its own.
-func (s *Sidecar) localRetryOptions(daemons int) retrier.Options {
-	share, slack := s.retryBudget().PerDaemon(daemons)
-	return retrier.Options{Share: share, MinPerSecond: -1, Slack: slack}
-}
-
 // refuseUnreadable returns the response to a request that could not be parsed
 // or is too large.
 func refuseUnreadable(status int, cause error) *http.Response {
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -40,7 +40,9 @@
 // dispatch makes attempts at the request until one succeeds or no further attempt
 // is allowed.
 func (d *Dispatcher) dispatch(ctx context.Context, ex *exchange) *flow.Refusal {
-	d.countRequest(ex)
+	if refusal := d.countRequest(ex); refusal != nil {
+		return refusal
+	}
 	tried := map[string]bool{}
 	var last attemptResult // result of the last attempt
 	for {
@@ -94,6 +96,7 @@
 	}
 	ex.lastServer = server.ID
 	result := d.run(ctx, ex, server, attempt)
+	d.recordOutage(ex.service, result, attempt.Load)
 	tried[server.ID] = true
 	if result.mayHaveRun {
 		ex.possibleRuns++
@@ -139,10 +142,13 @@
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
 	return d.selector.Plan(now, selector.Query{
-		Candidates:      candidates,
-		Tried:           tried,
-		Repeatable:      ex.repeatable(),
-		RetryBudgetLeft: d.retryBudget(ex.service).HasRetry(now),
+		Candidates: candidates,
+		Tried:      tried,
+		Repeatable: ex.repeatable(),
+		// The budget is that of all daemons and refills all the time: whether it was empty a
+		// moment ago says little about the time when this attempt fails. Without trials in the
+		// meantime, servers that have recovered stayed idle for over 2 s in simulations.
+		RetryBudgetLeft: true,
 		LargeResponse:   d.responseSizes[ex.route.Name] > largeResponseSize,
 	})
 }
@@ -347,40 +353,55 @@
 	return b.ReadCloser.Close()
 }
 
-// countRequest counts a request for the retry budget of its service. It is not known
-// which request on the backend server makes a call, so a random share of the calls,
-// equal to the server's share of retries, is counted as retries.
-func (d *Dispatcher) countRequest(ex *exchange) {
-	retryShare := 0.0
-	if ex.isCall {
-		retryShare = d.RetryShare()
+// countRequest counts a request for the retry budget of its service. Calls of the host's backend
+// server add nothing to the budget, and count as retries if a retry may have made them. Such a
+// call is refused if the budget is used up.
+func (d *Dispatcher) countRequest(ex *exchange) *flow.Refusal {
+	if !ex.isCall {
+		d.Allowance.CountRequest(ex.service)
+		return nil
+	}
+	charge, run := d.Charger.ChargeCall(ex.service)
+	switch charge {
+	case retrier.ChargeRetry:
+		if !d.Allowance.HasRetry(ex.service) {
+			d.Charger.CallRefused(run, ex.service)
+			d.logBudgetExhausted(ex)
+			return d.newRefusal(flow.ReasonNoCapacity, stepDispatch, "a retry may have made the call, and the retry budget is used up")
+		}
+		ex.isRetry = true
+	case retrier.ChargeLater:
+		d.Allowance.CountRetry(ex.service)
+	case retrier.ChargeNone:
 	}
+	return nil
+}
+
+// recordOutage records whether a backend server turned a request away.
+func (d *Dispatcher) recordOutage(service string, result attemptResult, load transporter.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	budget := d.retryBudget(ex.service)
-	budget.CountRequest(now)
-	if d.Random.Float64() < retryShare {
-		budget.CountRetry(now)
+	outage, ok := d.outages[service]
+	if !ok {
+		outage = &retrier.Outage{}
+		d.outages[service] = outage
+	}
+	switch {
+	case result.refusal != nil && result.refusal.Reason == flow.ReasonServerShed:
+		outage.TurnedAway(d.Clock.Now(), load.DrainTime)
+	case result.mayHaveRun:
+		outage.Answered()
 	}
 }
 
-// retryBudget returns this daemon's part of the retry budget of a service. A daemon
-// that is no longer listed may still spend its part, so the budget is divided by the
-// maximum number of daemons ever known. The caller must hold the lock.
-func (d *Dispatcher) retryBudget(service string) *retrier.Budget {
-	if known := len(d.Catalog().Hosts()); known > d.maxDaemons {
-		d.maxDaemons = known
-		for _, budget := range d.retryBudgets {
-			budget.SetOptions(d.RetryBudget(known))
-		}
-	}
-	budget, ok := d.retryBudgets[service]
-	if !ok {
-		budget = retrier.NewBudget(d.RetryBudget(d.maxDaemons))
-		d.retryBudgets[service] = budget
+// outageWait returns the time until a service that turns requests away is likely to take them.
+func (d *Dispatcher) outageWait(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if outage, ok := d.outages[service]; ok {
+		return outage.RetryAfter(d.Clock.Now())
 	}
-	return budget
+	return 0
 }
 
 // mayRetry reports whether another attempt may follow an attempt.
@@ -397,38 +418,25 @@
 	case !result.reachedServer:
 		return true
 	}
-	if d.hasOwnRetry(ex.service, now) || d.Allowance.HasRetry(ex.service) {
+	if d.Allowance.HasRetry(ex.service) {
 		return true
 	}
 	d.logBudgetExhausted(ex)
 	return false
 }
 
-// takeRetry takes a retry from the daemon's own part of the retry budget or, if that is
-// used up, from the pool of the service. Every further attempt at a request that has
-// reached a backend server needs one, whether or not it ran there.
+// takeRetry takes a retry from the budget of the service. Every further attempt at a
+// request that has reached a backend server needs one, whether or not it ran there.
 func (d *Dispatcher) takeRetry(ctx context.Context, ex *exchange) bool {
-	if d.takeOwnRetry(ex.service) || d.Allowance.Retry(ctx, ex.service) {
+	granted := d.Allowance.Retry(ctx, ex.service)
+	d.Observer.Retried(ex.service, granted)
+	if granted {
 		return true
 	}
 	d.logBudgetExhausted(ex)
 	return false
 }
 
-// hasOwnRetry reports whether a retry is left in this daemon's own part of a budget.
-func (d *Dispatcher) hasOwnRetry(service string, now flow.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.retryBudget(service).HasRetry(now)
-}
-
-// takeOwnRetry takes a retry from that part, if one is left.
-func (d *Dispatcher) takeOwnRetry(service string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.retryBudget(service).Withdraw(d.Clock.Now(), false)
-}
-
 func (d *Dispatcher) logBudgetExhausted(ex *exchange) {
 	d.Log.Info("retry budget is used up", "request", ex.id, "service", ex.service)
 }
--- a/internal/request/dispatcher/broken_test.go
+++ b/internal/request/dispatcher/broken_test.go
@@ -25,7 +25,6 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/dispatcher"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/executor"
-	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/linker"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -145,6 +144,8 @@
 
 func (allowEverything) Retry(context.Context, string) bool { return true }
 func (allowEverything) HasRetry(string) bool               { return true }
+func (allowEverything) CountRequest(string)                {}
+func (allowEverything) CountRetry(string)                  {}
 func (allowEverything) Take(context.Context, *flow.CustomerRule) (bool, time.Duration) {
 	return true, 0
 }
@@ -215,9 +216,8 @@
 		Host: "10.0.0.2", Zone: "a", Service: func() string { return "ledger" }, OfferPort: port, HeaderNames: names,
 		Clock: bubbleClock{}, Catalog: current, ProofAge: func() time.Duration { return 0 }, MaxProofAge: time.Minute,
 		Transporter: transporter.NewClient(options, host(ingressPort)), Allowance: allowEverything{}, Observer: discardObserver{},
-		CallFailed: func() {}, RetryShare: func() float64 { return 0 },
-		RetryBudget: func(int) retrier.Options { return retrier.Options{Share: -1, MinPerSecond: -1, Slack: 10} },
-		Log:         logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
+		CallFailed: func() {}, Charger: beside,
+		Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	callers := &pipeliner.Server{
 		Handle: ingress.Handle, Limits: func() flow.CallerLimits { return flow.CallerLimits{} }, Log: logr.Discard(),
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -58,12 +58,17 @@
 )
 
 // Allowance gives access to what the daemons share: the customers' rate limits and
-// the services' pools of retries.
+// the services' retry budgets.
 type Allowance interface {
-	// Retry takes a retry from the pool of a service, and reports whether there was
+	// CountRequest counts a request of a caller, whose share the retry budget of the
+	// service grows by.
+	CountRequest(service string)
+	// CountRetry counts a retry that is made whether or not the budget allows it.
+	CountRetry(service string)
+	// Retry takes a retry from the budget of a service, and reports whether there was
 	// one.
 	Retry(ctx context.Context, service string) bool
-	// HasRetry reports whether the pool may have a retry, as far as this daemon can
+	// HasRetry reports whether the budget may have a retry, as far as this daemon can
 	// tell.
 	HasRetry(service string) bool
 	// Take takes a token of a customer's rate. If there is none, it returns the time
@@ -71,11 +76,24 @@
 	Take(ctx context.Context, customer *flow.CustomerRule) (ok bool, retryAfter time.Duration)
 }
 
+// Charger finds the calls of the host's backend server that a retry may have made: a request that
+// has reached a backend server before. Such a request repeats its calls too, so that these count
+// as retries of the called service.
+type Charger interface {
+	// ChargeCall records a call of a service, and returns what it costs and the run that is
+	// charged.
+	ChargeCall(service string) (charge retrier.Charge, run uint64)
+	// CallRefused records that a charged call was refused for lack of a retry.
+	CallRefused(run uint64, service string)
+}
+
 // Observer records every request for metrics.
 type Observer interface {
 	// Served is called when a caller's request ends. The reason is that of a refusal,
 	// or "" for a response of a backend server.
 	Served(customer, route string, reason flow.Reason, offers int, latency time.Duration)
+	// Retried is called when a retry is drawn on the budget of a service.
+	Retried(service string, granted bool)
 }
 
 // Parts are the dependencies and limits of a Dispatcher.
@@ -95,11 +113,7 @@
 	Allowance   Allowance
 	Observer    Observer
 	CallFailed  func() // called when a call made by the host's backend server failed
-	// RetryShare returns the share of the requests running on the host's backend
-	// server that have reached a backend server before. Such a request repeats its
-	// calls too, so that this share of the server's calls counts as retries.
-	RetryShare  func() float64
-	RetryBudget func(daemons int) retrier.Options
+	Charger     Charger
 	Log         logr.Logger
 	Random      *rand.Rand
 }
@@ -117,8 +131,7 @@
 
 	mu            sync.Mutex
 	selector      *selector.Selector
-	retryBudgets  map[string]*retrier.Budget // by service
-	maxDaemons    int                        // maximum number ever known, by which the budgets are divided
+	outages       map[string]*retrier.Outage // by service
 	responseSizes map[string]float64         // moving average in bytes, by route
 }
 
@@ -133,7 +146,7 @@
 		aborted:       aborted,
 		abort:         abort,
 		selector:      selector.New(parts.Random),
-		retryBudgets:  map[string]*retrier.Budget{},
+		outages:       map[string]*retrier.Outage{},
 		responseSizes: map[string]float64{},
 	}
 }
@@ -167,7 +180,7 @@
 	service      string             // chosen from the route's split
 	isCall       bool               // the request was made by this host's backend server
 	possibleRuns int                // number of attempts that may have run
-	isRetry      bool               // an attempt has reached a backend server, whether or not it ran
+	isRetry      bool               // an attempt has reached a backend server, or a retry may have made this call
 	offers       int
 	lastServer   string        // id of the server of the last attempt
 	retryAfter   time.Duration // shortest queue wait that a daemon reported, or time until a token; -1 if unknown
@@ -372,6 +385,9 @@
 
 // refusalResponse returns the response that tells the caller of a refusal.
 func (d *Dispatcher) refusalResponse(ex *exchange, refusal *flow.Refusal) *http.Response {
+	if refusal.Reason == flow.ReasonServerShed {
+		ex.retryAfter = d.outageWait(ex.service)
+	}
 	return responder.RefusalResponse(ex.id, refusal, max(ex.retryAfter, 0))
 }
 
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,6 +44,7 @@
 	wait     bool        // the request waits for a slot until its context ends
 	gray     float64     // reported probability that the server fails most of its work
 	delay    time.Duration
+	drain    time.Duration // reported time until the server takes requests again
 
 	mu       sync.Mutex
 	offers   []transporter.Offer
@@ -70,7 +71,7 @@
 }
 
 func (s *testServer) Load(string) transporter.Load {
-	return transporter.Load{FreeSlots: 1, QueueWait: 700 * time.Millisecond, GrayProbability: s.gray}
+	return transporter.Load{FreeSlots: 1, QueueWait: 700 * time.Millisecond, GrayProbability: s.gray, DrainTime: s.drain}
 }
 
 type testSlot struct{ *testServer }
@@ -114,23 +115,35 @@
 	*dispatcher.Dispatcher
 	servers    []*testServer
 	allowed    bool
-	budget     float64
-	pool       int // retries left in the pool that the daemons share
+	budget     int // retries left in the budget that the daemons share
+	counted    int // requests of callers
+	later      int // retries that were made without one of the budget
 	proofAge   time.Duration
 	callFailed int
-	panics     atomic.Bool // the next request panics
-	retryShare float64     // of the requests running on the host's own server
+	panics     atomic.Bool    // the next request panics
+	charge     retrier.Charge // of calls of the host's own server
+	refused    int            // calls that were charged and refused
 	catalog    atomic.Pointer[cataloger.Catalog]
 }
 
 type allowance struct{ f *fixture }
 
 func (a allowance) Retry(context.Context, string) bool {
-	a.f.pool--
-	return a.f.pool >= 0
+	a.f.budget--
+	return a.f.budget >= 0
 }
 
-func (a allowance) HasRetry(string) bool { return a.f.pool > 0 }
+func (a allowance) HasRetry(string) bool { return a.f.budget > 0 }
+
+func (a allowance) CountRequest(string) { a.f.counted++ }
+
+func (a allowance) CountRetry(string) { a.f.later++ }
+
+// ChargeCall implements dispatcher.Charger.
+func (a allowance) ChargeCall(string) (retrier.Charge, uint64) { return a.f.charge, 1 }
+
+// CallRefused implements dispatcher.Charger.
+func (a allowance) CallRefused(uint64, string) { a.f.refused++ }
 
 func (a allowance) Take(context.Context, *flow.CustomerRule) (bool, time.Duration) {
 	if a.f.panics.Swap(false) {
@@ -142,6 +155,7 @@
 type discardObserver struct{}
 
 func (discardObserver) Served(string, string, flow.Reason, int, time.Duration) {}
+func (discardObserver) Retried(string, bool)                                   {}
 
 func newFixture(t *testing.T, testServers ...*testServer) *fixture {
 	t.Helper()
@@ -177,11 +191,8 @@
 		ProofAge: func() time.Duration { return f.proofAge }, MaxProofAge: time.Minute,
 		Transporter: transporter.NewClient(options, nil), Allowance: allowance{f}, Observer: discardObserver{},
 		CallFailed: func() { f.callFailed++ },
-		RetryShare: func() float64 { return f.retryShare },
-		RetryBudget: func(daemons int) retrier.Options {
-			return retrier.Options{Share: -1, MinPerSecond: -1, Slack: f.budget * float64(len(testServers)) / float64(daemons)}
-		},
-		Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
+		Charger:    allowance{f},
+		Log:        logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	return f
 }
@@ -338,61 +349,91 @@
 	}
 }
 
-// TestRetryBudget has one retry in the daemon's own part of the budget and two in the
-// pool. After that, the server's error is returned without a retry.
+// TestRetryBudget has three retries in the budget. After that, the server's error is returned
+// without a retry.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, &testServer{status: 500}, &testServer{status: 500}, &testServer{status: 500})
-	f.budget, f.pool = 1, 2
+	f.budget = 3
 	for range 5 {
 		status, _, _ := f.send(t, http.MethodGet, "/read/", nil)
 		is.Equal(status, 500)
 	}
 	is.Equal(f.runs(), 8)
+	is.Equal(f.counted, 5)
 }
 
-// TestRetryWithoutServerSpendsNoBudget has requests fail while no other server accepts
-// them, as in an overload. The retries that were not made stay in the budget.
-func TestRetryWithoutServerSpendsNoBudget(t *testing.T) {
-	cases := map[string]struct{ budget, pool int }{
-		"daemon's own part": {1, 0},
-		"shared pool":       {0, 1},
+// TestCallersOfServiceThatShedsAreRefusedAtOnce has all servers turn requests away and the budget
+// used up. Each request arrives at one server, and its caller is told when to repeat it: when
+// the servers say, or after as long as the outage has lasted.
+func TestCallersOfServiceThatShedsAreRefusedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		said        time.Duration // by the servers
+		least, most float64       // Retry-After of the second request in seconds
+	}{
+		"servers say when":     {3 * time.Second, 2.9, 3},
+		"servers say nothing":  {0, 0.4, 0.7},
+		"servers say too soon": {50 * time.Millisecond, 0.2, 0.7},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			failing, full := &testServer{status: http.StatusInternalServerError}, &testServer{refuse: flow.ReasonBusy, status: http.StatusInternalServerError}
-			f := newFixture(t, failing, full)
-			f.budget, f.pool = float64(tc.budget), tc.pool
-			for range 3 {
-				f.send(t, http.MethodGet, "/read/", nil)
-			}
-			is.Equal(f.runs(), 3)
-			full.mu.Lock()
-			full.refuse = ""
-			full.mu.Unlock()
+			shedding := func() *testServer { return &testServer{fail: flow.ReasonServerShed, drain: tc.said} }
+			f := newFixture(t, shedding(), shedding(), shedding())
+			f.budget = 0
+			began := time.Now()
 			f.send(t, http.MethodGet, "/read/", nil)
-			is.Equal(f.runs(), 5)
+			time.Sleep(400 * time.Millisecond)
+			status, _, header := f.send(t, http.MethodGet, "/read/", nil)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(header.Get(flow.HeaderOutcome), string(flow.OutcomeNotRun))
+			is.Equal(f.runs(), 2)
+			is.True(time.Since(began) < time.Second)
+			after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(after >= tc.least && after <= tc.most)
 		})
 	}
 }
 
-// TestCallsOfRetriedRequestsCountAsRetries has the host's own server run retried
-// requests. They repeat their calls too, which count against the retry budget.
+// TestRetryWithoutServerSpendsNoBudget has requests fail while no other server accepts
+// them, as in an overload. The retries that were not made stay in the budget.
+func TestRetryWithoutServerSpendsNoBudget(t *testing.T) {
+	is := is.New(t)
+	failing, full := &testServer{status: http.StatusInternalServerError}, &testServer{refuse: flow.ReasonBusy, status: http.StatusInternalServerError}
+	f := newFixture(t, failing, full)
+	f.budget = 1
+	for range 3 {
+		f.send(t, http.MethodGet, "/read/", nil)
+	}
+	is.Equal(f.runs(), 3)
+	full.mu.Lock()
+	full.refuse = ""
+	full.mu.Unlock()
+	f.send(t, http.MethodGet, "/read/", nil)
+	is.Equal(f.runs(), 5)
+}
+
+// TestCallsOfRetriedRequestsCountAsRetries has the host's own server run retried requests. They
+// repeat their calls too, which draw on the retry budget like any further send. Calls add
+// nothing to the budget.
 func TestCallsOfRetriedRequestsCountAsRetries(t *testing.T) {
 	cases := map[string]struct {
-		path       string
-		retryShare float64
-		want       int // runs of two failing requests and of their retries
+		path                          string
+		charge                        retrier.Charge
+		runs                          int // of two failing requests and their retries
+		counted, later, refused, left int
 	}{
-		"calls of first attempts":  {"/call/", 0, 4},
-		"calls of second attempts": {"/call/", 1, 3},
-		"requests of callers":      {"/read/", 1, 4},
+		"calls of first attempts":     {"/call/", retrier.ChargeNone, 4, 0, 0, 0, 1},
+		"calls of second attempts":    {"/call/", retrier.ChargeRetry, 3, 0, 0, 0, 0},
+		"calls after one was refused": {"/call/", retrier.ChargeLater, 4, 0, 2, 0, 1},
+		"requests of callers":         {"/read/", retrier.ChargeRetry, 4, 2, 0, 0, 1},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			f := newFixture(t, &testServer{status: 500}, &testServer{status: 500})
-			f.budget, f.retryShare = 2, tc.retryShare
+			f.budget, f.charge = 3, tc.charge
 			for range 2 {
 				f.send(t, http.MethodGet, tc.path, func(r *http.Request) {
 					if tc.path == "/call/" {
@@ -400,11 +441,25 @@
 					}
 				})
 			}
-			is.New(t).Equal(f.runs(), tc.want)
+			is.Equal(f.runs(), tc.runs)
+			is.Equal([]int{f.counted, f.later, f.refused, f.budget}, []int{tc.counted, tc.later, tc.refused, tc.left})
 		})
 	}
 }
 
+// TestCallOfRetryIsRefusedWithoutBudget has a retry make a call when the budget of the called
+// service is used up. The call arrives at no server.
+func TestCallOfRetryIsRefusedWithoutBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, &testServer{})
+	f.budget, f.charge = 0, retrier.ChargeRetry
+	status, _, header := f.send(t, http.MethodGet, "/call/", func(r *http.Request) { r.Header.Del(names.Key) })
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get(flow.HeaderOutcome), string(flow.OutcomeNotRun))
+	is.Equal(f.runs(), 0)
+	is.Equal(f.refused, 1)
+}
+
 // TestCallFailedOnlyForServersOwnCalls reports a failed call of the host's backend
 // server to the executor, and not a failed request of a caller.
 func TestCallFailedOnlyForServersOwnCalls(t *testing.T) {
@@ -497,41 +552,3 @@
 	status, _, _ = f.send(t, http.MethodPost, "/book/", nil)
 	is.Equal(status, http.StatusOK)
 }
-
-// TestRetryBudgetIsDividedByMostDaemons changes the number of known daemons after
-// retries were spent. The daemon's part of the budget shrinks when there are more
-// daemons, and does not grow when there are fewer again.
-func TestRetryBudgetIsDividedByMostDaemons(t *testing.T) {
-	is := is.New(t)
-	failing := func() *testServer { return &testServer{status: http.StatusInternalServerError} }
-	f := newFixture(t, failing(), failing())
-	f.budget = 8
-	f.pool = 0
-	retries := func(requests int) int {
-		before := f.runs()
-		for range requests {
-			_, _, _ = f.send(t, http.MethodGet, "/read/", nil)
-		}
-		return f.runs() - before - requests
-	}
-	is.Equal(retries(2), 2)
-	few := f.catalog.Load()
-	f.catalog.Store(withHosts(few, 8))
-	is.Equal(retries(4), 0) // the part of one of eight daemons is two retries, and both are spent
-	f.catalog.Store(few)
-	is.Equal(retries(4), 0)
-}
-
-// withHosts returns a catalog with the servers of the given catalog, and with servers
-// of another service to make up the number of hosts.
-func withHosts(catalog *cataloger.Catalog, hosts int) *cataloger.Catalog {
-	servers := slices.Clone(catalog.Servers("stock"))
-	for i := len(servers); i < hosts; i++ {
-		ip := fmt.Sprintf("127.0.1.%d", i)
-		servers = append(servers, &flow.ServerEntry{ID: ip, Service: "other", Address: ip + ":1", Host: ip, Zone: "a", Slots: 4})
-	}
-	route := *catalog.Route("a.example", "/read/")
-	return cataloger.Build(6, &flow.Configuration{
-		Version: 3, Routes: []flow.RouteRule{route}, Services: []flow.ServiceRule{{Name: "other"}}, Customers: []flow.CustomerRule{*catalog.Customer("shop")},
-	}, servers, nil)
-}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,6 +24,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -83,7 +85,9 @@
 	nextID      uint64
 	waiters     map[uint64]waiter
 	overdue     map[uint64]bool
-	failedDials int // consecutive connections that could not be opened
+	charger     *retrier.CallCharger
+	shedUntil   flow.Time // when the backend server takes requests again, as it said
+	failedDials int       // consecutive connections that could not be opened
 	stopping    bool
 	queueTimer  *time.Timer
 }
@@ -111,6 +115,7 @@
 		breaker:   estimator.NewBreaker(parts.Clock.Now()),
 		waiters:   map[uint64]waiter{},
 		overdue:   map[uint64]bool{},
+		charger:   retrier.NewCallCharger(rand.New(rand.NewPCG(rand.Uint64(), 0))),
 	}
 }
 
@@ -140,12 +145,18 @@
 	e.breaker.CallFailed(e.Clock.Now())
 }
 
-// RetryShare returns the share of the running requests that have reached a
-// backend server before, from 0 to 1.
-func (e *Executor) RetryShare() float64 {
+// ChargeCall implements dispatcher.Charger.
+func (e *Executor) ChargeCall(service string) (charge retrier.Charge, run uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.scheduler.RetryShare()
+	return e.charger.Charge(service)
+}
+
+// CallRefused implements dispatcher.Charger.
+func (e *Executor) CallRefused(run uint64, service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.charger.Refused(run, service)
 }
 
 // ApplyCatalog applies a new catalog: slots, cold starts, and whether the
@@ -353,6 +364,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.scheduler.Finish(id, duration)
+	e.charger.End(id)
 	delete(e.overdue, id)
 	e.grantSlots()
 }
@@ -398,10 +410,12 @@
 	if server != e.server {
 		return transporter.Load{}
 	}
+	now := e.Clock.Now()
 	return transporter.Load{
 		FreeSlots:       e.scheduler.FreeSlots(),
 		QueueWait:       e.scheduler.ExpectedWait(),
-		GrayProbability: e.breaker.GrayProbability(e.Clock.Now()),
+		GrayProbability: e.breaker.GrayProbability(now),
+		DrainTime:       max(e.shedUntil.Sub(now), 0),
 	}
 }
 
@@ -466,6 +480,7 @@
 		e.finish(s.id, 0)
 		return nil, e.newRefusal(flow.ReasonNoCapacity, stepRun, "no time is left")
 	}
+	e.begin(s)
 	response, outcome := e.send(ctx, s, request, left)
 	took := e.Clock.Now().Sub(began)
 	e.recordOutcome(s, outcome, took)
@@ -485,6 +500,13 @@
 	}}, nil
 }
 
+// begin records that the run of a slot begins.
+func (e *Executor) begin(s *slot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.charger.Begin(s.id, s.offer.IsRetry)
+}
+
 // recordOutcome records the outcome of a run. It releases the slot if there is no
 // response to pass on.
 func (e *Executor) recordOutcome(s *slot, out outcome, took time.Duration) {
@@ -516,6 +538,9 @@
 	} else if out.verdict == flow.VerdictGood {
 		e.recordResponse(now)
 	}
+	if out.retryAfter > 0 {
+		e.shedUntil = now.Add(out.retryAfter)
+	}
 	if out.serverEnded {
 		e.endedServer = s.offer.Server
 		e.Log.Info("listed backend server has ended", "server", s.offer.Server, "request", s.offer.ID, "cause", out.text())
--- a/internal/request/executor/send.go
+++ b/internal/request/executor/send.go
@@ -25,12 +25,16 @@
 // backend server that responds at the deadline itself needs time to deliver it.
 const responseGrace = 60 * time.Millisecond
 
+// maxRetryAfter bounds the time for which a backend server is believed to turn requests away.
+const maxRetryAfter = time.Minute
+
 // outcome is the result of one run.
 type outcome struct {
 	verdict     flow.Verdict
 	status      int // of the backend server's response; 0 without one
 	refusal     *flow.Refusal
-	serverEnded bool // the server has ended; another one has its address
+	serverEnded bool          // the server has ended; another one has its address
+	retryAfter  time.Duration // after which the server takes requests again, as it said when it turned one away
 }
 
 // text describes the outcome for the log.
@@ -54,7 +58,8 @@
 
 // send runs a request on the backend server. It sends the request once more if
 // no byte of it was written because the pooled connection had been closed, by the
-// server or after a response to another request.
+// server or after a response to another request. The request arrives once in either case,
+// so that the second sending needs no retry of the budget.
 func (e *Executor) send(ctx context.Context, s *slot, incoming *transporter.Request, left time.Duration) (*responder.Response, outcome) {
 	ctx, expiry := expirer.New(ctx, left+responseGrace)
 	for mayRepeat := true; ; mayRepeat = false {
@@ -189,6 +194,9 @@
 	}
 	out := e.failedOutcome(flow.VerdictShed, flow.ReasonServerShed, errors.New("the backend server did not run it: "+response.Status))
 	out.status = response.StatusCode
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		out.retryAfter = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		out.refusal.Reason = flow.ReasonLeaving
 		out.serverEnded = true
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -23,7 +23,6 @@
 	Share        float64 // retries of requests that may have run, as a share of the requests in the window
 	NotRunShare  float64 // retries of requests that did not run, as a share of the requests in the window
 	MinPerSecond float64 // retries per second of each kind that are allowed even if the share is smaller
-	Slack        float64 // retries in the ten-second window that are allowed on top of that
 }
 
 // Budget counts the requests and the retries of one service in a sliding window of ten
@@ -84,21 +83,11 @@
 	return true
 }
 
-// CountRetry counts a retry that is made whether or not the budget allows it.
-func (b *Budget) CountRetry(now flow.Time) { b.slot(now).retries++ }
-
-// HasRetry reports whether the budget has a retry for a request that may have run.
-func (b *Budget) HasRetry(now flow.Time) bool {
-	b.slot(now) // clears expired slots
-	total := b.total()
-	return b.allows(total.retries, total.requests, b.options.Share)
-}
-
 // allows reports whether one more retry stays within the share of the requests or the
-// minimum rate, whichever allows more, plus the slack.
+// minimum rate, whichever allows more.
 func (b *Budget) allows(retries, requests int, share float64) bool {
 	minRetries := b.options.MinPerSecond * windowSlots * slotDuration.Seconds()
-	return float64(retries+1) <= max(minRetries, share*float64(requests))+b.options.Slack
+	return float64(retries+1) <= max(minRetries, share*float64(requests))
 }
 
 // slot returns the current slot, and clears the slots that have left the window.
--- a/internal/request/retrier/shared.go
+++ b/internal/request/retrier/shared.go
@@ -40,7 +40,7 @@
 }
 
 // budgetOf returns the budget of one customer: only its own share of requests that did
-// not run, without a minimum rate or slack.
+// not run, without a minimum rate.
 func (b *SharedBudget) budgetOf(now flow.Time, customer string) *Budget {
 	if own, ok := b.customers[customer]; ok {
 		return own
--- a/internal/simulator/attempt.go
+++ b/internal/simulator/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -24,13 +25,14 @@
 // startAttempt runs a request that has a slot.
 func (sim *simulation) startAttempt(now flow.Time, r *request, s *server) {
 	sim.reportLoad(now, r, s)
-	if r.isRetry && !sim.takeRetryToken(now, r) {
+	if r.isRetry && !sim.takeRetryToken(now, r.ingress, r.kind.Service) {
 		s.queue.Finish(r.id, 0)
 		sim.advanceQueue(now, s)
 		sim.endRequest(now, r, r.finalOutcome(outcomeRefused))
 		return
 	}
-	sim.recorder.arrivals = append(sim.recorder.arrivals, arrival{at: now, server: s, isRetry: r.isRetry || r.calledByRetry, cold: now.Before(s.coldUntil)})
+	r.repeatsWork = len(r.tried) > 0 || r.calledByRetry
+	sim.recorder.arrivals = append(sim.recorder.arrivals, arrival{at: now, server: s, isRetry: r.repeatsWork, cold: now.Before(s.coldUntil)})
 	r.ingress.selector.BeginRequest(now, s.entry.ID)
 	r.tried[s.entry.ID] = true
 	if shedding := sim.troubleOf(now, Shed, s); shedding != nil && sim.workRandom.Float64() < shedding.Factor {
@@ -38,6 +40,7 @@
 		return
 	}
 	r.attempts++
+	s.charger.Begin(r.id, r.isRetry)
 	a := &attempt{request: r, server: s, runStart: now}
 	r.cancel = func(now flow.Time) {
 		a.cancelled = true
@@ -62,6 +65,7 @@
 
 // shedRequest makes a server refuse a request that reached it.
 func (sim *simulation) shedRequest(now flow.Time, r *request, s *server) {
+	r.shedAt = now
 	s.queue.Finish(r.id, 0)
 	r.ingress.selector.EndRequest(now, s.entry.ID)
 	r.ingress.selector.MarkShed(now, s.entry.ID)
@@ -117,11 +121,21 @@
 		return
 	}
 	c := sim.newRequest(now, kind, s.host, min(r.deadline, now.Add(kind.Deadline.AsDuration())))
-	c.customer, c.onEnd, c.calledByRetry = r.customer, back, r.isRetry
+	c.customer, c.onEnd, c.calledByRetry = r.customer, back, r.repeatsWork
 	sim.Schedule(c.deadline, func(now flow.Time) { sim.endRequest(now, c, outcomeFailed) })
 	sim.countRequest(now, c)
-	if sim.workRandom.Float64() < s.queue.RetryShare() {
-		sim.daemonBudget(c).CountRetry(now)
+	charge, run := s.charger.Charge(c.kind.Service)
+	switch charge {
+	case retrier.ChargeRetry:
+		c.isRetry = true
+		if !sim.hasRetry(now, c) {
+			s.charger.Refused(run, c.kind.Service)
+			sim.endRequest(now, c, outcomeRefused)
+			return
+		}
+	case retrier.ChargeLater:
+		sim.ledgerOf(c.ingress, c.kind.Service).CountRetry(now)
+	case retrier.ChargeNone:
 	}
 	sim.offerByNewPlan(now, c)
 }
@@ -145,6 +159,7 @@
 		goodDuration = max(took, time.Millisecond)
 	}
 	s.queue.Finish(r.id, goodDuration)
+	s.charger.End(r.id)
 	sim.advanceQueue(now, s)
 	r.cancel = nil
 	r.ingress.selector.EndRequest(now, s.entry.ID)
@@ -162,7 +177,7 @@
 	if r.ended {
 		return
 	}
-	if now.After(r.deadline) || mayHaveRun && (!r.kind.Idempotent || r.attempts >= r.kind.Attempts) {
+	if now.After(r.deadline) || mayHaveRun && (!r.kind.Idempotent || r.attempts >= r.kind.Attempts) || !sim.hasRetry(now, r) {
 		sim.endRequest(now, r, r.finalOutcome(o))
 		return
 	}
@@ -170,29 +185,49 @@
 	sim.offerByNewPlan(now, r)
 }
 
-// daemonBudget returns the retry budget of a daemon for the service of a request.
-func (sim *simulation) daemonBudget(r *request) *retrier.Budget {
-	budget, ok := r.ingress.budgets[r.kind.Service]
+// ledgerOf returns the ledger of a daemon for a service.
+func (sim *simulation) ledgerOf(daemon *ingress, service string) *ratelimiter.Ledger {
+	ledger, ok := daemon.ledgers[service]
+	if !ok {
+		ledger = ratelimiter.NewLedger(sim.retryBudget)
+		daemon.ledgers[service] = ledger
+	}
+	return ledger
+}
+
+// poolOf returns the retry pool of a service.
+func (sim *simulation) poolOf(service string) *ratelimiter.RetryPool {
+	pool, ok := sim.retries[service]
 	if !ok {
-		share, slack := retryBudget.PerDaemon(len(sim.ingresses))
-		budget = retrier.NewBudget(retrier.Options{Share: share, MinPerSecond: -1, Slack: slack})
-		r.ingress.budgets[r.kind.Service] = budget
+		pool = ratelimiter.NewRetryPool(0, sim.retryBudget, 0)
+		sim.retries[service] = pool
 	}
-	return budget
+	return pool
 }
 
 // countRequest counts a request for the retry budget of its service.
 func (sim *simulation) countRequest(now flow.Time, r *request) {
-	sim.daemonBudget(r).CountRequest(now)
 	sim.recorder.started[r.kind.Service] = append(sim.recorder.started[r.kind.Service], now)
+	if r.onEnd == nil {
+		sim.ledgerOf(r.ingress, r.kind.Service).CountRequest(now)
+		sim.recorder.sent[r.kind.Service] = append(sim.recorder.sent[r.kind.Service], now)
+	}
+}
+
+// hasRetry reports whether the budget of a request's service may have a retry, as far as its
+// ingress can tell.
+func (sim *simulation) hasRetry(now flow.Time, r *request) bool {
+	return !now.Before(r.ingress.poolEmptyUntil[r.kind.Service])
 }
 
-// takeRetryToken takes a retry from the daemon's own budget, or else from the shared one of
-// the service.
-func (sim *simulation) takeRetryToken(now flow.Time, r *request) bool {
-	if sim.daemonBudget(r).Withdraw(now, false) {
-		return true
+// takeRetryToken takes a retry from the budget of a service for a daemon. The owner of the
+// budget answers at once.
+func (sim *simulation) takeRetryToken(now flow.Time, daemon *ingress, service string) bool {
+	pool := sim.poolOf(service)
+	pool.Report(now, sim.ledgerOf(daemon, service).Take(now))
+	ok, after := pool.Take(now)
+	if !ok {
+		daemon.poolEmptyUntil[service] = now.Add(after)
 	}
-	ok, _ := sim.retries.Take(now, r.kind.Service, retryBudget.PoolRate())
 	return ok
 }
--- a/internal/simulator/bounds.go
+++ b/internal/simulator/bounds.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -50,15 +51,23 @@
 type recorder struct {
 	arrivals []arrival
 	started  map[string][]flow.Time // by service, starts of requests and calls
+	sent     map[string][]flow.Time // by service, starts of requests of callers
+	refusals []refusal              // of requests that a backend server had turned away
 	unserved map[string][]flow.Time // by service, starts of requests and calls without a response
 	samples  map[*server][]sample   // one for each sampleInterval
 }
 
+// refusal is the end of a request that a backend server had turned away.
+type refusal struct {
+	start, shedAt, end flow.Time
+	reached            int // backend servers that the request arrived at
+}
+
 // sample is the state of a server at one time.
 type sample struct{ gray, troubled bool }
 
 func newRecorder() *recorder {
-	return &recorder{started: map[string][]flow.Time{}, unserved: map[string][]flow.Time{}, samples: map[*server][]sample{}}
+	return &recorder{started: map[string][]flow.Time{}, sent: map[string][]flow.Time{}, unserved: map[string][]flow.Time{}, samples: map[*server][]sample{}}
 }
 
 // sampleServers records the states of the servers now and every sampleInterval.
@@ -84,8 +93,9 @@
 	end := flow.Time(0).Add(sim.pattern.Duration.AsDuration())
 	for i := range sim.pattern.Services {
 		service := &sim.pattern.Services[i]
-		for at := flow.Time(0); at < end; at += sampleInterval {
-			bounds.Retries = max(bounds.Retries, sim.recorder.retryUsage(service.Name, at))
+		bounds.Retries = max(bounds.Retries, sim.recorder.maxRetryUsage(service.Name, sim.retryBudget))
+		// A window that reaches beyond the last arrival holds too few requests for all servers.
+		for at := flow.Time(0); !at.Add(floorWindow).After(end); at += sampleInterval {
 			bounds.Floor = min(bounds.Floor, sim.busyShareAt(service, at))
 		}
 	}
@@ -95,21 +105,32 @@
 	return bounds
 }
 
-// retryUsage returns the share of a service's retry budget that was used in the window from
-// a time. The budget follows from the requests of that window, of the one before, or of the
-// one that starts half a window earlier, whichever has the most.
-func (r *recorder) retryUsage(service string, from flow.Time) float64 {
-	window := retryBudget.Window
-	until := from.Add(window)
-	retries := 0
-	for _, arrived := range r.between(from, until) {
+// maxRetryUsage returns the largest share of a service's retry budget that was used in any
+// window. The retries in a window only change where it begins or ends at one, so all windows
+// that begin at a retry and all that end at one are examined.
+func (r *recorder) maxRetryUsage(service string, budget ratelimiter.RetryBudget) float64 {
+	var retries []flow.Time
+	for _, arrived := range r.arrivals {
 		if arrived.isRetry && arrived.server.service.Name == service {
-			retries++
+			retries = append(retries, arrived.at)
 		}
 	}
-	starts := r.started[service]
-	most := max(countBetween(starts, from, until), countBetween(starts, from.Add(-window), from), countBetween(starts, from.Add(-window/2), until.Add(-window/2)))
-	return float64(retries) / (retryBudget.Share*float64(most) + retryBudget.Slack)
+	most := 0.0
+	for _, at := range retries {
+		most = max(most, r.retryUsage(service, budget, retries, at), r.retryUsage(service, budget, retries, at.Add(time.Millisecond-budget.Window)))
+	}
+	return most
+}
+
+// retryUsage returns the share of a service's retry budget that was used in the window from
+// a time. The budget follows from the requests that callers sent in that window, in the one
+// before, or in the one that starts half a window earlier, whichever has the most.
+func (r *recorder) retryUsage(service string, budget ratelimiter.RetryBudget, retries []flow.Time, from flow.Time) float64 {
+	window := budget.Window
+	until := from.Add(window)
+	sent := r.sent[service]
+	most := max(countBetween(sent, from, until), countBetween(sent, from.Add(-window), from), countBetween(sent, from.Add(-window/2), until.Add(-window/2)))
+	return float64(countBetween(retries, from, until)) / (budget.Share*float64(most) + budget.Slack)
 }
 
 // between returns the arrivals in a window. They are sorted by time.
@@ -181,3 +202,36 @@
 	}
 	return true
 }
+
+// Outage is how the callers of requests fared that backend servers turned away.
+type Outage struct {
+	Refused       int           `json:"refused"`        // requests and calls that were turned away and then refused
+	RefusedWithin time.Duration `json:"refused-within"` // time in which 95 in 100 of them were refused after they were last turned away
+	MeanArrivals  float64       `json:"mean-arrivals"`  // servers that each of them arrived at
+	MostArrivals  int           `json:"most-arrivals"`  // servers that one of them arrived at
+	ExtraArrivals int           `json:"extra-arrivals"` // all arrivals beyond the first of each request, and arrivals of their calls
+	FirstArrivals int           `json:"first-arrivals"` // arrivals of the others
+}
+
+// outage summarizes the requests that backend servers turned away.
+func (r *recorder) outage() Outage {
+	result := Outage{Refused: len(r.refusals)}
+	var delays []time.Duration
+	for _, refused := range r.refusals {
+		delays = append(delays, refused.end.Sub(refused.shedAt))
+		result.MeanArrivals += float64(refused.reached) / float64(len(r.refusals))
+		result.MostArrivals = max(result.MostArrivals, refused.reached)
+	}
+	if len(delays) > 0 {
+		slices.Sort(delays)
+		result.RefusedWithin = delays[len(delays)*95/100]
+	}
+	for _, arrived := range r.arrivals {
+		if arrived.isRetry {
+			result.ExtraArrivals++
+		} else {
+			result.FirstArrivals++
+		}
+	}
+	return result
+}
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -23,7 +23,6 @@
 	FreeSlots() int
 	ExpectedWait() time.Duration
 	Queued() int
-	RetryShare() float64
 	SetCold(now, until flow.Time, perSecond float64)
 }
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -30,9 +30,11 @@
 	tried         map[string]bool              // IDs of the servers that it reached
 	attempts      int                          // number of these servers on which it may have run
 	isRetry       bool                         // the next attempt takes a token of the retry budget
-	calledByRetry bool                         // it is a call that a retry makes
+	calledByRetry bool                         // it is a call that a retry makes, which no daemon knows
+	repeatsWork   bool                         // its latest arrival was not its first, or it is such a call
 	cancel        func(now flow.Time)          // removes it from the server where it waits or runs
 	ended         bool
+	shedAt        flow.Time // when a backend server last turned it away; 0 if none did
 }
 
 // startRequest starts a request of a caller.
@@ -92,6 +94,9 @@
 	}
 	r.ended = true
 	ok := o == outcomeAnswered
+	if o == outcomeRefused && r.shedAt > 0 {
+		sim.recorder.refusals = append(sim.recorder.refusals, refusal{start: r.start, end: now, shedAt: r.shedAt, reached: len(r.tried)})
+	}
 	if o == outcomeRefused || o == outcomeFailed {
 		sim.recorder.unserved[r.kind.Service] = append(sim.recorder.unserved[r.kind.Service], r.start)
 	}
@@ -113,7 +118,7 @@
 		Candidates:      sim.candidates(now, r.kind.Service, r.ingress.zone),
 		Tried:           r.tried,
 		Repeatable:      r.repeatable(),
-		RetryBudgetLeft: sim.daemonBudget(r).HasRetry(now),
+		RetryBudgetLeft: true, // as in the dispatcher
 	})
 	if !r.search.RecordPlan(r.plan) {
 		sim.endRequest(now, r, r.finalOutcome(outcomeRefused))
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -52,6 +52,7 @@
 	Kinds     []*Counts `json:"kinds"`
 	Customers []*Counts `json:"customers"`
 	Bounds    Bounds    `json:"bounds"`
+	Outage    Outage    `json:"outage"`
 }
 
 // Worst returns the lowest served share of those counts that have owed requests.
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -39,8 +39,11 @@
 	drainTime = 30 * time.Second
 )
 
-// retryBudget is the retry budget of a service in the deployments, for 27 hosts.
-var retryBudget = ratelimiter.RetryBudget{Share: 0.2, Slack: 62, Window: 10 * time.Second}
+// retryBudgetOf returns the retry budget of a service in a deployment of a number of hosts. The
+// deployments have a slack of 62 with 27 hosts, and of 222 with 108.
+func retryBudgetOf(hosts int) ratelimiter.RetryBudget {
+	return ratelimiter.RetryBudget{Share: 0.2, Slack: 62 + float64(hosts-27)*(222-62)/(108-27), Window: 10 * time.Second}
+}
 
 // simulation is the state of one simulation. Each backend server has its own host with an
 // ingress.
@@ -53,19 +56,21 @@
 	arrivalRandom map[*RequestKind]*rand.Rand // for the arrivals of a kind, the same under each policy
 	ingresses     []*ingress
 	servers       []*server
-	rates         *ratelimiter.Buckets // token buckets of the customers' rates, which a fleet keeps at their owners
-	retries       *ratelimiter.Buckets // shared retry budgets of the services
+	rates         *ratelimiter.Buckets              // token buckets of the customers' rates, which a fleet keeps at their owners
+	retries       map[string]*ratelimiter.RetryPool // by service
 	lastID        uint64
+	retryBudget   ratelimiter.RetryBudget
 	counters      *counters
 	recorder      *recorder
 }
 
 // ingress is the part of a daemon that sends requests to backend servers.
 type ingress struct {
-	zone      string
-	selector  *selector.Selector
-	budgets   map[string]*retrier.Budget
-	awayUntil flow.Time // its daemon is unreachable until then
+	zone           string
+	selector       *selector.Selector
+	ledgers        map[string]*ratelimiter.Ledger // by service
+	poolEmptyUntil map[string]flow.Time           // by service, as the owner of its retries said
+	awayUntil      flow.Time                      // its daemon is unreachable until then
 }
 
 // server is a backend server with the state of the daemon beside it.
@@ -74,6 +79,7 @@
 	service          *Service
 	host             *ingress // of the daemon beside it
 	queue            Queue
+	charger          *retrier.CallCharger
 	breaker          *estimator.Breaker
 	queued           map[uint64]queuedRequest // by request ID
 	gray             bool
@@ -97,13 +103,14 @@
 		grayRandom:    rand.New(rand.NewPCG(seed, 2)),
 		arrivalRandom: map[*RequestKind]*rand.Rand{},
 		rates:         ratelimiter.NewBuckets(),
-		retries:       ratelimiter.NewBuckets(),
+		retries:       map[string]*ratelimiter.RetryPool{},
 		counters:      newCounters(pattern),
 		recorder:      newRecorder(),
 	}
 	for i := range pattern.Services {
 		sim.addServers(&pattern.Services[i])
 	}
+	sim.retryBudget = retryBudgetOf(len(sim.servers))
 	for i := range pattern.Kinds {
 		if kind := &pattern.Kinds[i]; kind.PerSecond > 0 {
 			sim.arrivalRandom[kind] = rand.New(rand.NewPCG(seed, 3+uint64(i)))
@@ -118,6 +125,7 @@
 	err := sim.RunUntil(ctx, end, func() bool { return false })
 	result := sim.counters.result(policy.Name, seed)
 	result.Bounds = sim.computeBounds()
+	result.Outage = sim.recorder.outage()
 	return result, err
 }
 
@@ -126,16 +134,18 @@
 		number := len(sim.servers)
 		zone := "zone-" + strconv.Itoa(number%sim.pattern.Zones)
 		host := &ingress{
-			zone:      zone,
-			selector:  selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
-			budgets:   map[string]*retrier.Budget{},
-			awayUntil: flow.Never,
+			zone:           zone,
+			selector:       selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
+			ledgers:        map[string]*ratelimiter.Ledger{},
+			poolEmptyUntil: map[string]flow.Time{},
+			awayUntil:      flow.Never,
 		}
 		s := &server{
 			entry:     &flow.ServerEntry{ID: service.Name + "-" + strconv.Itoa(number), Service: service.Name, Zone: zone, Slots: service.Slots},
 			service:   service,
 			host:      host,
 			queue:     sim.policy.newQueue(service.Slots),
+			charger:   retrier.NewCallCharger(rand.New(rand.NewPCG(uint64(number), 4))),
 			breaker:   estimator.NewBreaker(0),
 			queued:    map[uint64]queuedRequest{},
 			coldUntil: flow.Never,
@@ -175,7 +185,10 @@
 		order := sim.workRandom.Perm(len(sim.ingresses))[:int(t.Share*float64(len(sim.ingresses)))]
 		for i, number := range order {
 			sim.Schedule(begin.Add(t.For.AsDuration()*time.Duration(i)/time.Duration(len(order))), func(now flow.Time) {
-				sim.ingresses[number].awayUntil = now.Add(restartTime)
+				restarted := sim.ingresses[number]
+				restarted.awayUntil = now.Add(restartTime)
+				clear(restarted.ledgers)
+				clear(restarted.poolEmptyUntil)
 			})
 		}
 	}
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -79,7 +79,7 @@
 		t.Run(pattern.Name, func(t *testing.T) {
 			t.Parallel()
 			own := runPattern(t, pattern, findPolicy(t, simulator.DaemonPolicy))
-			t.Logf("bounds over all daemons: %+v", own.bounds)
+			t.Logf("in time %.3f, bounds over all daemons: %+v", own.share(own.inTime), own.bounds)
 			is.New(t).True(own.bounds.Retries <= 1)
 			is.New(t).True(own.bounds.Cold <= 1)
 			is.New(t).True(own.bounds.Floor >= minFloor)
