--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -24,7 +24,6 @@
 	ExpectedWait() time.Duration
 	MeanRunning() time.Duration
 	Queued() int
-	RetryShare() float64
 	SetCold(now, until flow.Time, perSecond float64)
 }
 
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -53,6 +53,7 @@
 	Customers []*Counts `json:"customers"`
 	Bounds    Bounds    `json:"bounds"`
 	Traffic   Traffic   `json:"traffic"`
+	Outage    Outage    `json:"outage"`
 }
 
 // worthPerRegionMB is the price of a megabyte between regions in units of worth. On a
