--- a/cmd/coltsfootflow/pages_test.go
+++ b/cmd/coltsfootflow/pages_test.go
@@ -125,7 +125,9 @@
 	slices.Sort(served)
 	var want []string
 	for _, row := range reporter.MetricRows() {
-		want = append(want, row.Name+"{"+row.Labels+"}")
+		if !row.Sidecar {
+			want = append(want, row.Name+"{"+row.Labels+"}")
+		}
 	}
 	slices.Sort(want)
 	is.Equal(slices.Compact(served), want)
--- a/internal/connection/framer/frame.go
+++ b/internal/connection/framer/frame.go
@@ -24,6 +24,8 @@
 	lengthSize = 4
 	// writeTimeout bounds writing one frame.
 	writeTimeout = time.Second
+	// keptBufferBytes is the size of the write buffer that an idle connection keeps.
+	keptBufferBytes = 8 << 10
 )
 
 // Error is the class of all errors of frames and handshakes.
@@ -75,7 +77,11 @@
 // Write sends one frame. A payload over the limit is not sent and leaves the connection
 // usable. If writing to the connection fails, Write closes it, since part of the frame
 // may have been sent.
-func (c *Conn) Write(payload []byte) error {
+func (c *Conn) Write(payload []byte) error { return c.WriteWithin(payload, writeTimeout) }
+
+// WriteWithin is Write with a bound on the time until the other end has taken enough of what
+// was written before.
+func (c *Conn) WriteWithin(payload []byte, timeout time.Duration) error {
 	if len(payload) > c.maxPayloadBytes {
 		return flow.Wrap("write-frame", c.peerName(), Error.New("a frame of %d bytes is over the limit of %d", len(payload), c.maxPayloadBytes))
 	}
@@ -83,7 +89,7 @@
 	defer c.writing.Unlock()
 	c.writeBuffer = appendPayload(c.writeBuffer[:0], payload)
 	c.writeBuffer = append(c.writeBuffer, c.writeTagger.next(payload)...)
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return flow.Wrap("write-frame", c.peerName(), err)
 	}
 	if _, err := c.conn.Write(c.writeBuffer); err != nil {
@@ -93,6 +99,23 @@
 	return nil
 }
 
+// SetReadBuffer sets the size in bytes of the kernel's buffer for what was not read yet, if
+// the connection has one.
+func (c *Conn) SetReadBuffer(bytes int) {
+	if socket, ok := c.conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = socket.SetReadBuffer(bytes)
+	}
+}
+
+// Trim gives back the memory that the last frames needed, before the connection is idle.
+func (c *Conn) Trim() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if cap(c.writeBuffer) > keptBufferBytes {
+		c.writeBuffer = nil
+	}
+}
+
 // peerName is the name of the peer in errors.
 func (c *Conn) peerName() string {
 	return c.peer.Host + "@" + c.conn.RemoteAddr().String()
--- a/internal/connection/pipeliner/pipeliner.go
+++ b/internal/connection/pipeliner/pipeliner.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -27,10 +28,15 @@
 	// readAhead limits the requests of one connection that are read before the first is
 	// answered.
 	readAhead = 32
-	// bodyTimeout bounds reading the body of a request.
-	bodyTimeout = 30 * time.Second
-	// writeTimeout bounds writing a response, in case the caller does not read it.
+	// maxAhead limits the requests of all connections that are handled although an earlier
+	// one of their connection has no response yet. Each of them may hold several connections to
+	// other daemons and a response.
+	maxAhead = 64
+	// writeTimeout bounds the time in which a caller reads nothing of a response.
 	writeTimeout = 15 * time.Second
+	// minWriteRate is the rate, in bytes per second, that a caller has to read a response at
+	// after writeTimeout.
+	minWriteRate = 16 << 10
 	// lingerTime is how long the server reads on after the last response of a connection.
 	// Closing a connection with unread data resets it, and the caller could lose the
 	// response.
@@ -45,11 +51,12 @@
 	defaultIdleTimeout   = 30 * time.Second
 )
 
-// Handler returns the response to a request, whose body has been read. The context ends
+// Handler returns the response to a request, whose body has been read and must not be used
+// after the handler has returned. The context ends
 // when the caller closes the connection. The response has no body, or one with a known
 // end. If its field Close is set, the connection is closed after it. If the response is
 // nil, the connection is closed without one.
-type Handler func(ctx context.Context, request *http.Request, body []byte) *http.Response
+type Handler func(ctx context.Context, request *http.Request, body flow.Body) *http.Response
 
 // Server serves the connections of callers.
 type Server struct {
@@ -57,12 +64,29 @@
 	Limits func() flow.CallerLimits                     // the limits in force now
 	Refuse func(status int, cause error) *http.Response // the response to an unreadable request
 	Log    logr.Logger
+	Budget *budgeter.Budget // of the memory for bodies; nil for no limit
+	// Screen is called before the body of a request is read, unless the body is small. It
+	// may be nil.
+	Screen func(ctx context.Context, request *http.Request) Screening
 
 	closing    atomic.Bool // close each connection after its last response
 	draining   atomic.Bool // read no further requests
 	goroutines sync.WaitGroup
 	mu         sync.Mutex
 	conns      map[*conn]struct{}
+	ahead      int // requests that are handled ahead of their turn
+	drainCtx   context.Context
+	drain      context.CancelFunc
+}
+
+// drained returns a context that ends with Drain.
+func (s *Server) drained() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.drainCtx == nil {
+		s.drainCtx, s.drain = context.WithCancel(context.Background())
+	}
+	return s.drainCtx
 }
 
 // Serve accepts connections until the listener is closed. It does not wait for them to end.
@@ -90,6 +114,8 @@
 func (s *Server) Drain() {
 	s.draining.Store(true)
 	s.closing.Store(true)
+	_ = s.drained()
+	s.drain()
 }
 
 // CloseIdle closes the connections without a pending request.
@@ -122,6 +148,7 @@
 	limited   *io.LimitedReader // below reader; limits the size of a request
 	pending   atomic.Int64      // requests that have begun to arrive and are not answered
 	exchanges chan *exchange    // in the order of their requests
+	answered  chan struct{}     // receives when a response has been written
 	ctx       context.Context
 	cancel    context.CancelFunc
 
@@ -145,6 +172,7 @@
 		limited:   limited,
 		reader:    bufio.NewReader(limited),
 		exchanges: make(chan *exchange, readAhead),
+		answered:  make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -172,7 +200,7 @@
 // requests are cancelled.
 func (c *conn) readRequests() {
 	for {
-		request, body, err := c.readRequest()
+		in, err := c.readRequest()
 		if errors.Is(err, errEnding) {
 			if c.pending.Load() > 0 {
 				c.awaitClose()
@@ -185,11 +213,20 @@
 		}
 		if err != nil {
 			c.refuse(err)
+			c.discardRest()
 			return
 		}
-		ex := &exchange{request: request, response: make(chan *http.Response, 1), last: request.Close}
+		ex := &exchange{request: in.request, response: make(chan *http.Response, 1), last: in.request.Close}
 		c.exchanges <- ex
-		go func() { ex.response <- c.server.Handle(c.ctx, request, body) }()
+		isAhead := c.awaitTurn()
+		go func() {
+			response := in.handle(c.ctx, in.request, in.body)
+			c.release(in)
+			if isAhead {
+				c.server.countAhead(-1)
+			}
+			ex.response <- response
+		}()
 		if ex.last {
 			c.awaitClose()
 			return
@@ -197,6 +234,42 @@
 	}
 }
 
+// awaitTurn returns once a request may be handled, and reports whether it counts as handled
+// ahead of its turn.
+func (c *conn) awaitTurn() (isAhead bool) {
+	for c.pending.Load() > 1 {
+		if c.server.countAhead(1) {
+			return true
+		}
+		select {
+		case <-c.answered:
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// countAhead counts a request that is handled ahead of its turn, and reports false if there
+// are too many.
+func (s *Server) countAhead(delta int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ahead+delta > maxAhead {
+		return false
+	}
+	s.ahead += delta
+	return true
+}
+
+// discardRest discards what follows a request that was refused before it was read whole.
+// Closing the connection with unread data would reset it, and the caller could lose the
+// response.
+func (c *conn) discardRest() {
+	c.limited.N = int64(withDefaults(c.server.Limits()).BodyBytes)
+	_, _ = io.Copy(io.Discard, c.reader)
+}
+
 // awaitClose waits until the caller closes the connection or all responses are written. It
 // discards what the caller sends after its last request.
 func (c *conn) awaitClose() {
@@ -240,12 +313,16 @@
 	err    error
 }
 
+// Error implements error.
 func (e *statusError) Error() string { return e.err.Error() }
 
+// Unwrap returns the cause.
+func (e *statusError) Unwrap() error { return e.err }
+
 // readRequest reads one request with its body. The error is errCallerLeft if the caller
 // closed the connection or did not send all of the request, errEnding if the server reads
 // no further request, and a *statusError if the request is to be refused.
-func (c *conn) readRequest() (*http.Request, []byte, error) {
+func (c *conn) readRequest() (*incoming, error) {
 	limits := withDefaults(c.server.Limits())
 	c.limited.N = int64(limits.HeaderBytes) + int64(c.reader.Size())
 	if c.pending.Load() == 0 {
@@ -254,25 +331,24 @@
 		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, nil, errCallerLeft
+		return nil, errCallerLeft
 	}
 	// The request is pending from its first byte on, so that a shutdown waits for it.
 	if !c.begin() {
-		return nil, nil, errEnding
+		return nil, errEnding
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, nil, c.headError(err)
-	}
-	if request.Header.Get("Expect") != "" {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, errCallerLeft
-		}
+		return nil, c.headError(err)
 	}
 	request.RemoteAddr = c.raw.RemoteAddr().String()
-	body, err := c.readBody(request, int64(limits.BodyBytes))
-	return request, body, err
+	in := &incoming{request: request, handle: c.server.Handle}
+	if err := c.readBody(in, int64(limits.BodyBytes)); err != nil {
+		c.release(in)
+		return nil, err
+	}
+	return in, nil
 }
 
 // headError classifies an error of reading the head of a request.
@@ -289,25 +365,6 @@
 	return &statusError{http.StatusBadRequest, err}
 }
 
-func (c *conn) readBody(request *http.Request, limit int64) ([]byte, error) {
-	if request.ContentLength == 0 {
-		return nil, nil
-	}
-	if request.ContentLength > limit {
-		return nil, &statusError{http.StatusRequestEntityTooLarge, errors.New("the body is too long")}
-	}
-	c.limited.N = 2*limit + defaultHeaderBytes // leaves room for the framing of chunks
-	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	if err != nil {
-		return nil, errCallerLeft // an incomplete request must not run
-	}
-	if int64(len(body)) > limit {
-		return nil, &statusError{http.StatusRequestEntityTooLarge, errors.New("the body is too long")}
-	}
-	return body, nil
-}
-
 // refuse responds to a request that could not be read, after the responses to the earlier
 // requests.
 func (c *conn) refuse(err error) {
@@ -318,7 +375,13 @@
 	}
 	c.server.Log.Info("request could not be read", "step", "read-request", "peer", c.raw.RemoteAddr().String(), "cause", err.Error())
 	ex := &exchange{response: make(chan *http.Response, 1), last: true}
-	ex.response <- c.server.Refuse(status, err)
+	var screened *refusedError
+	if errors.As(err, &screened) {
+		ex.response <- screened.response
+	} else {
+		ex.response <- c.server.Refuse(status, err)
+	}
+	_ = c.raw.SetReadDeadline(time.Time{})
 	c.exchanges <- ex
 }
 
@@ -332,7 +395,12 @@
 			c.abandon()
 			return
 		}
-		if c.pending.Add(-1) == 0 {
+		pending := c.pending.Add(-1)
+		select {
+		case c.answered <- struct{}{}:
+		default:
+		}
+		if pending == 0 {
 			limits := withDefaults(c.server.Limits())
 			_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout + idleMargin))
 		}
@@ -353,8 +421,7 @@
 	response.Request = ex.request
 	response.Close = response.Close || ex.last || c.endsNow()
 	untilClose := markEnd(response)
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	writer := bufio.NewWriterSize(c.raw, 4096)
+	writer := bufio.NewWriterSize(&pacedWriter{conn: c.raw, began: time.Now()}, 4096)
 	err := response.Write(writer)
 	if err == nil {
 		err = writer.Flush()
@@ -365,6 +432,22 @@
 	return err == nil
 }
 
+// pacedWriter writes a response as long as the caller reads it.
+type pacedWriter struct {
+	conn    net.Conn
+	began   time.Time
+	written int64
+}
+
+// Write implements io.Writer.
+func (w *pacedWriter) Write(p []byte) (int, error) {
+	slowest := w.began.Add(writeTimeout + time.Duration(w.written/minWriteRate)*time.Second)
+	_ = w.conn.SetWriteDeadline(earlier(time.Now().Add(writeTimeout), slowest))
+	n, err := w.conn.Write(p)
+	w.written += int64(n)
+	return n, err
+}
+
 // markEnd makes the end of a body of unknown length recognizable, by chunks or, for callers
 // that do not know these, by the end of the connection. It reports whether it is the latter.
 func markEnd(response *http.Response) (untilClose bool) {
--- a/internal/connection/pipeliner/pipeliner_test.go
+++ b/internal/connection/pipeliner/pipeliner_test.go
@@ -74,10 +74,10 @@
 	is := is.New(t)
 	running := make(chan string, 3)
 	release := map[string]chan struct{}{"/1": make(chan struct{}), "/2": make(chan struct{}), "/3": make(chan struct{})}
-	_, conn := serve(t, func(_ context.Context, r *http.Request, body []byte) *http.Response {
+	_, conn := serve(t, func(_ context.Context, r *http.Request, body flow.Body) *http.Response {
 		running <- r.URL.Path
 		<-release[r.URL.Path]
-		return okResponse(r.URL.Path + string(body))
+		return okResponse(r.URL.Path + string(body.Bytes()))
 	}, flow.CallerLimits{})
 	fmt.Fprint(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"+
 		"POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n")
@@ -103,7 +103,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			started, ended := make(chan struct{}), make(chan struct{})
-			_, conn := serve(t, func(ctx context.Context, _ *http.Request, _ []byte) *http.Response {
+			_, conn := serve(t, func(ctx context.Context, _ *http.Request, _ flow.Body) *http.Response {
 				close(started)
 				<-ctx.Done()
 				close(ended)
@@ -137,7 +137,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			_, conn := serve(t, func(context.Context, *http.Request, []byte) *http.Response {
+			_, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response {
 				t.Error("the request was handled")
 				return nil
 			}, limits)
@@ -150,7 +150,7 @@
 
 // TestRequestWithIncompleteBodyIsNotHandled ends a request before its body is complete.
 func TestRequestWithIncompleteBodyIsNotHandled(t *testing.T) {
-	_, conn := serve(t, func(context.Context, *http.Request, []byte) *http.Response {
+	_, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response {
 		t.Error("the request was handled")
 		return nil
 	}, flow.CallerLimits{})
@@ -164,7 +164,7 @@
 // must not mistake it for a complete one.
 func TestIncompleteResponseFailsAtCaller(t *testing.T) {
 	is := is.New(t)
-	_, conn := serve(t, func(context.Context, *http.Request, []byte) *http.Response {
+	_, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response {
 		response := okResponse("half")
 		response.ContentLength = 8
 		return response
@@ -181,7 +181,7 @@
 // request's head has arrived. The request must still be answered.
 func TestRequestBegunBeforeShutdownIsAnswered(t *testing.T) {
 	is := is.New(t)
-	server, conn := serve(t, func(context.Context, *http.Request, []byte) *http.Response { return okResponse("whole") }, flow.CallerLimits{})
+	server, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response { return okResponse("whole") }, flow.CallerLimits{})
 	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHo")
 	for server.Pending() == 0 {
 		time.Sleep(time.Millisecond)
@@ -201,7 +201,7 @@
 // response. CloseIdle must close it.
 func TestCloseIdleClosesConnectionWithoutPendingRequest(t *testing.T) {
 	is := is.New(t)
-	server, conn := serve(t, func(context.Context, *http.Request, []byte) *http.Response { return okResponse("") }, flow.CallerLimits{})
+	server, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response { return okResponse("") }, flow.CallerLimits{})
 	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	reader := bufio.NewReader(conn)
 	readResponse(t, reader)
@@ -221,7 +221,7 @@
 	is := is.New(t)
 	var handled atomic.Int64
 	release := make(chan struct{})
-	server, conn := serve(t, func(_ context.Context, request *http.Request, _ []byte) *http.Response {
+	server, conn := serve(t, func(_ context.Context, request *http.Request, _ flow.Body) *http.Response {
 		handled.Add(1)
 		<-release
 		return okResponse(request.URL.Path)
@@ -254,7 +254,7 @@
 	is := is.New(t)
 	var handled atomic.Int64
 	release := make(chan struct{})
-	server, conn := serve(t, func(_ context.Context, request *http.Request, _ []byte) *http.Response {
+	server, conn := serve(t, func(_ context.Context, request *http.Request, _ flow.Body) *http.Response {
 		handled.Add(1)
 		<-release
 		return okResponse(request.URL.Path)
--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -36,6 +36,15 @@
 	closeExpected bool // the peer announced that it would close the connection
 }
 
+// SetReadBuffer sets the size in bytes of the kernel's buffer for what was not read yet, if
+// the connection has one.
+func (c *Conn) SetReadBuffer(bytes int) error {
+	if socket, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		return socket.SetReadBuffer(bytes)
+	}
+	return nil
+}
+
 // NewConn wraps conn. The first Close calls onClose, unless that is nil. The argument byPeer
 // is true if the peer closed or reset the connection without having announced it.
 func NewConn(conn net.Conn, onClose func(byPeer bool)) *Conn {
--- a/internal/connection/transporter/client.go
+++ b/internal/connection/transporter/client.go
@@ -198,25 +198,52 @@
 // header of the response. The body has to be read to its end or closed. The error is a
 // *flow.Refusal.
 func (a *Attempt) Run(ctx context.Context, request *Request) (*Answer, error) {
-	if err := send(a.conn, &message{Kind: messageRun, Request: request}); err != nil {
+	run := &message{Kind: messageRun, Request: request}
+	if length := request.Pieces.Len(); length > inlineBodyLimit {
+		run.Kind, request.Length = messageRunStreamed, length
+	} else if length > 0 {
+		request.Body = request.Pieces.Bytes()
+	}
+	if err := send(a.conn, run); err != nil {
 		return nil, a.fail(ctx, err)
 	}
+	var sender *bodySender
+	if run.Kind == messageRunStreamed {
+		sender = startSending(a.conn, request.Pieces)
+	}
+	m, err := a.awaitHead()
+	if err != nil {
+		err = a.fail(ctx, err)
+		if sender != nil {
+			_ = sender.finish() // the connection is closed
+		}
+		return nil, err
+	}
+	if sender != nil {
+		// A server that has accepted the request may read on while it answers.
+		if err := sender.end(m.Kind == messageHead && m.Status < http.StatusMultipleChoices); err != nil {
+			return nil, a.fail(ctx, err)
+		}
+	}
+	if m.Load != nil {
+		a.Load = *m.Load
+	}
+	if m.Kind == messageFailed {
+		a.release()
+		return nil, &flow.Refusal{Reason: m.Reason, Step: "run", Peer: a.address, Detail: m.Cause}
+	}
+	if isStreamed(m.Length) {
+		a.conn.SetReadBuffer(readBufferBytes)
+	}
+	return &Answer{Status: m.Status, Header: m.Header, Length: m.Length, Body: &responseBody{attempt: a}}, nil
+}
+
+// awaitHead returns the head of the response, or the message that there is none.
+func (a *Attempt) awaitHead() (*message, error) {
 	for {
 		m, err := receive(a.conn, a.silence())
-		switch {
-		case err != nil:
-			return nil, a.fail(ctx, err)
-		case m.Kind == messageFailed:
-			a.release()
-			if m.Load != nil {
-				a.Load = *m.Load
-			}
-			return nil, &flow.Refusal{Reason: m.Reason, Step: "run", Peer: a.address, Detail: m.Cause}
-		case m.Kind == messageHead:
-			if m.Load != nil {
-				a.Load = *m.Load
-			}
-			return &Answer{Status: m.Status, Header: m.Header, Length: m.Length, Body: &responseBody{attempt: a}}, nil
+		if err != nil || m.Kind == messageFailed || m.Kind == messageHead {
+			return m, err
 		}
 	}
 }
@@ -324,6 +351,7 @@
 		_ = conn.Close()
 		return
 	}
+	conn.Trim()
 	c.idle[address] = append(c.idle[address], idleConn{conn: conn, since: time.Now()})
 }
 
--- a/internal/connection/transporter/message.go
+++ b/internal/connection/transporter/message.go
@@ -29,7 +29,7 @@
 }
 
 // Request is the request to run. It is sent only after a grant, since most offers only
-// look for a free slot.
+// look for a free slot. A body that is not small follows in messages of its own.
 type Request struct {
 	Method string      `msgpack:"m"`
 	Target string      `msgpack:"u"` // request URI as the caller sent it
@@ -37,6 +37,10 @@
 	Header http.Header `msgpack:"f"`
 	Caller string      `msgpack:"o"` // service of the host whose daemon is the ingress
 	Body   []byte      `msgpack:"b,omitempty"`
+	Length int64       `msgpack:"n,omitempty"` // of the body that follows; 0 if it is Body
+
+	Pieces flow.Body   `msgpack:"-"` // the body to send; Run sets Body or Length from it
+	Stream *BodyStream `msgpack:"-"` // the body that follows, at the daemon beside the server
 }
 
 // Load is the load of a backend server as its daemon reports it.
@@ -57,6 +61,10 @@
 	messageData                 // a chunk of the response's body
 	messageEnd                  // the response is complete
 	messageFailed               // there is no response, or it is incomplete
+	// messageRunStreamed is messageRun for a request whose body follows in messages of the
+	// kind messageData, up to messageEnd, or messageFailed if the ingress breaks it off.
+	// A daemon of an earlier version closes the connection, and does not run the request.
+	messageRunStreamed
 )
 
 // message is the payload of a frame.
--- a/internal/connection/transporter/server.go
+++ b/internal/connection/transporter/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,7 +120,7 @@
 // serveOffer serves one offer and, if it is granted, its request. It reports whether the
 // connection can be used for another offer.
 func (s *Server) serveOffer(ctx context.Context, conn *framer.Conn, messages <-chan *message) (reusable bool) {
-	offer := awaitMessage(ctx, messages, messageOffer, serverIdleTimeout)
+	offer := awaitMessage(ctx, messages, serverIdleTimeout, messageOffer)
 	if offer == nil || offer.Offer == nil {
 		return false
 	}
@@ -146,30 +147,45 @@
 		slot.Release()
 		return false
 	}
-	run := awaitMessage(ctx, messages, messageRun, offerTimeout+silenceTimeout)
+	run := awaitMessage(ctx, messages, offerTimeout+silenceTimeout, messageRun, messageRunStreamed)
 	if run == nil || run.Request == nil {
 		slot.Release()
 		return false
 	}
+	var stream *BodyStream
+	if run.Kind == messageRunStreamed {
+		conn.SetReadBuffer(readBufferBytes)
+		stream = &BodyStream{ctx: ctx, messages: messages}
+		run.Request.Stream = stream
+	}
 	writer.startRepeating(messageProgress)
 	answer, err := slot.Run(ctx, run.Request)
 	writer.stopRepeating()
+	bodyEnded := make(chan bool, 1)
+	if stream == nil {
+		bodyEnded <- true
+	} else {
+		go func() { bodyEnded <- stream.discardRest(err == nil) }()
+	}
 	load = slot.Load()
 	if err != nil {
 		refusal, _ := flow.AsRefusal(err)
-		return writer.send(&message{Kind: messageFailed, Reason: refusal.Reason, Cause: refusal.Detail, Load: &load})
+		reusable = writer.send(&message{Kind: messageFailed, Reason: refusal.Reason, Cause: refusal.Detail, Load: &load})
+	} else {
+		reusable = writer.sendResponse(answer, &load)
 	}
-	return writer.sendResponse(answer, &load)
+	conn.Trim()
+	return reusable && <-bodyEnded
 }
 
-// awaitMessage returns the next message. It returns nil if the message is of another kind
-// or does not come within the timeout.
-func awaitMessage(ctx context.Context, messages <-chan *message, kind messageKind, timeout time.Duration) *message {
+// awaitMessage returns the next message. It returns nil if the message is of none of the
+// kinds or does not come within the timeout.
+func awaitMessage(ctx context.Context, messages <-chan *message, timeout time.Duration, kinds ...messageKind) *message {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case m := <-messages:
-		if m.Kind == kind {
+		if slices.Contains(kinds, m.Kind) {
 			return m
 		}
 	case <-timer.C:
@@ -191,6 +207,13 @@
 	return send(w.conn, m) == nil
 }
 
+// sendData sends a piece of a response's body.
+func (w *messageWriter) sendData(data []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return sendData(w.conn, &message{Kind: messageData, Data: data}) == nil
+}
+
 // startRepeating sends a message every progressInterval until stopRepeating, so that the
 // other end can tell a slow request from a lost connection. It sends messageQueued at
 // once, too.
@@ -231,15 +254,23 @@
 	if !w.send(&message{Kind: messageHead, Status: answer.Status, Header: answer.Header, Length: answer.Length, Load: load}) {
 		return false
 	}
+	if isStreamed(answer.Length) {
+		// The backend server may pause, and so may the caller.
+		w.startRepeating(messageProgress)
+		defer w.stopRepeating()
+	}
 	buffer := make([]byte, min(max(answer.Length, 1), dataChunkSize))
 	if answer.Length < 0 {
 		buffer = make([]byte, dataChunkSize)
 	}
 	for {
 		n, err := answer.Body.Read(buffer)
-		if n > 0 && !w.send(&message{Kind: messageData, Data: buffer[:n]}) {
+		if n > 0 && !w.sendData(buffer[:n]) {
 			return false
 		}
+		if err != nil {
+			w.stopRepeating()
+		}
 		if errors.Is(err, io.EOF) {
 			return w.send(&message{Kind: messageEnd})
 		}
--- a/internal/connection/transporter/transporter_test.go
+++ b/internal/connection/transporter/transporter_test.go
@@ -30,6 +30,7 @@
 type stubExecutor struct {
 	admit    func(ctx context.Context, onQueued func()) error
 	run      func(ctx context.Context) (*transporter.Answer, error)
+	stream   func(body io.ReadCloser) (*transporter.Answer, error) // runs requests with large bodies
 	runs     atomic.Int64
 	released atomic.Int64
 }
@@ -51,6 +52,9 @@
 
 func (s *stubSlot) Run(ctx context.Context, request *transporter.Request) (*transporter.Answer, error) {
 	s.runs.Add(1)
+	if request.Stream != nil {
+		return s.stream(request.Stream.Open())
+	}
 	if s.run != nil {
 		return s.run(ctx)
 	}
--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -3,6 +3,7 @@
 package reporter
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -90,6 +91,18 @@
 	}
 }
 
+// Unread counts a request that was refused before it was read whole.
+func (m *Metrics) Unread(reason flow.Reason, status int) {
+	m.increment(series{"unread-requests", label{"reason", string(reason)}, label{"status", strconv.Itoa(status)}})
+}
+
+// HoldBodies sets the memory for bodies that is taken, and the number of bodies that wait
+// for some.
+func (m *Metrics) HoldBodies(bytes int64, waiting int) {
+	m.setGauge("body-bytes", float64(bytes))
+	m.setGauge("bodies-waiting", float64(waiting))
+}
+
 // CallServed records the end of a call from another daemon.
 func (m *Metrics) CallServed(call string, err error) {
 	result := "answered"
--- a/internal/process/supervisor/pages.go
+++ b/internal/process/supervisor/pages.go
@@ -21,11 +21,14 @@
 	Hosts      int             `json:"hosts"`
 	Pending    int             `json:"pending"` // callers' requests in progress
 	Stopping   bool            `json:"stopping"`
+	BodyBytes  int64           `json:"body-bytes"`       // of the memory for bodies that are taken
+	Waiting    int             `json:"waiting-for-room"` // callers' bodies that wait for memory
 	Server     executor.Status `json:"backend-server"`
 }
 
 func (s *Sidecar) status() Status {
 	catalog := s.follower.Catalog()
+	used, waiting := s.budget.Usage()
 	return Status{
 		Host:       s.settings.Host,
 		Zone:       s.settings.AvailabilityZone,
@@ -36,6 +39,8 @@
 		Hosts:      len(catalog.Hosts()),
 		Pending:    s.callers.Pending(),
 		Stopping:   s.stopping.Load(),
+		BodyBytes:  used,
+		Waiting:    waiting,
 		Server:     s.executor.Status(),
 	}
 }
@@ -50,10 +55,12 @@
 	})
 	mux.HandleFunc("GET "+reporter.PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		s.metrics.HoldBodies(s.budget.Usage())
 		_ = s.metrics.WriteText(w)
 	})
 	mux.HandleFunc("GET "+reporter.PathMetricsJSON, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
+		s.metrics.HoldBodies(s.budget.Usage())
 		_ = s.metrics.WriteJSON(w)
 	})
 	return mux
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/pipeliner"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/follower"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/reporter"
@@ -40,8 +41,8 @@
 	// A whole configuration has to fit into one frame.
 	controlFrameLimit = 16 << 20
 	// dataFrameLimit is the largest frame of a forwarded request in bytes. A
-	// whole body has to fit into one frame.
-	dataFrameLimit = 80 << 20
+	// head, or a piece of a body, has to fit into one frame.
+	dataFrameLimit = 1 << 20
 	// customerMetricsLimit is the number of customers that get metrics of their
 	// own.
 	customerMetricsLimit = 100
@@ -74,6 +75,7 @@
 	offers      *transporter.Server
 	control     *listener.Listener
 	offerClient *transporter.Client
+	budget      *budgeter.Budget
 	dialers     []*dialer.Dialer
 	metrics     *reporter.Metrics
 	stopping    atomic.Bool
@@ -176,6 +178,7 @@
 	watchDialer, callDialer := dialer.New(control, nil), dialer.New(control, nil)
 	s.dialers = []*dialer.Dialer{watchDialer, callDialer}
 	s.offerClient = transporter.NewClient(data, nil)
+	s.budget = budgeter.New(int64(settings.Sidecar.Memory), s.clock)
 	s.follower = follower.New(follower.Parts{
 		Host:     host,
 		Zone:     settings.AvailabilityZone,
@@ -210,6 +213,7 @@
 		Clock:    s.clock,
 		Catalog:  s.follower.Catalog,
 		Observer: s.metrics,
+		Budget:   s.budget,
 		Log:      s.log.WithName("admission"),
 	})
 	s.dispatcher = dispatcher.New(dispatcher.Parts{
@@ -222,6 +226,7 @@
 		Catalog:     s.follower.Catalog,
 		ProofAge:    s.follower.Age,
 		MaxProofAge: settings.Sidecar.MaxProofAge,
+		Budget:      s.budget,
 		Transporter: s.offerClient,
 		Allowance:   s.allowance,
 		Observer:    s.metrics,
@@ -234,8 +239,10 @@
 	s.callers = &pipeliner.Server{
 		Handle: s.dispatcher.Handle,
 		Limits: func() flow.CallerLimits { return s.follower.Catalog().Limits },
-		Refuse: refuseUnreadable,
+		Refuse: s.refuseUnreadable,
 		Log:    s.log.WithName("callers"),
+		Budget: s.budget,
+		Screen: s.dispatcher.Screen,
 	}
 	s.offers = &transporter.Server{Options: data, Executor: s.executor, Log: s.log.WithName("offers"), OnConnect: s.follower.NotePeer}
 	s.control = &listener.Listener{
@@ -266,14 +273,23 @@
 	return retrier.Options{Share: share, MinPerSecond: -1, Slack: slack}
 }
 
-// refuseUnreadable returns the response to a request that could not be parsed
-// or is too large.
-func refuseUnreadable(status int, cause error) *http.Response {
-	reason := flow.ReasonRequestMalformed
-	if status == http.StatusRequestEntityTooLarge || status == http.StatusRequestHeaderFieldsTooLarge {
-		reason = flow.ReasonRequestTooLarge
+// refuseUnreadable returns the response to a request that could not be parsed,
+// is too large or late, or whose body finds no room.
+func (s *Sidecar) refuseUnreadable(status int, cause error) *http.Response {
+	refusal := &flow.Refusal{Reason: flow.ReasonRequestMalformed, Step: "read-request", Peer: s.settings.Host, Detail: cause.Error()}
+	var retryAfter time.Duration
+	var noRoom *pipeliner.NoRoomError
+	switch {
+	case errors.As(cause, &noRoom):
+		refusal.Reason, retryAfter = flow.ReasonNoRoom, noRoom.RetryAfter
+		used, waiting := s.budget.Usage()
+		s.log.Info("body refused for lack of memory", "step", "read-request", "bytes", noRoom.Bytes,
+			"held-bytes", used, "waiting", waiting, "retry-after-ms", retryAfter.Milliseconds())
+	case status == http.StatusRequestEntityTooLarge, status == http.StatusRequestHeaderFieldsTooLarge:
+		refusal.Reason = flow.ReasonRequestTooLarge
 	}
-	response := responder.RefusalResponse("", &flow.Refusal{Reason: reason, Step: "read-request", Detail: cause.Error()}, 0)
+	s.metrics.Unread(refusal.Reason, status)
+	response := responder.RefusalResponse("", refusal, retryAfter)
 	response.StatusCode = status
 	response.Close = true
 	return response
--- a/internal/request/composer/composer.go
+++ b/internal/request/composer/composer.go
@@ -52,6 +52,12 @@
 	return request, nil
 }
 
+// SetStream gives a request that was composed without a body one of a known length, which is
+// not empty and can be read once.
+func SetStream(request *http.Request, body io.ReadCloser, length int64) {
+	request.Body, request.ContentLength, request.TransferEncoding = body, length, nil
+}
+
 // setBody gives a request a body that cannot be read twice, so that the
 // transport cannot send it again. An empty body of POST, PUT or PATCH is sent
 // with a Content-Length of 0. For other methods an empty body adds nothing to
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -203,7 +202,7 @@
 		Host:   ex.request.Host,
 		Header: d.forwardedHeader(ex.request),
 		Caller: d.Service(),
-		Body:   ex.body,
+		Pieces: ex.body,
 	}
 }
 
@@ -296,21 +295,25 @@
 	return attemptResult{refusal: refusal, mayHaveRun: !notRun, reachedServer: refusal.Reason != flow.ReasonUnreachable}
 }
 
-// readResponse reads a response up to responder.BufferLimit. A longer one, or one of
-// unknown length, is streamed.
+// readResponse reads a response up to responder.BufferLimit. A longer one, one of unknown
+// length, or one that finds no room in the budget, is streamed. One of unknown length may
+// have no end, so it keeps the deadline of its request.
 func (d *Dispatcher) readResponse(ctx context.Context, expiry *expirer.Expiry, ex *exchange, answer *transporter.Answer) attemptResult {
 	response := &http.Response{StatusCode: answer.Status, Header: answer.Header, ContentLength: answer.Length, Body: answer.Body}
 	if response.Header == nil {
 		response.Header = http.Header{}
 	}
-	if answer.Length > responder.BufferLimit || answer.Length < 0 {
-		expiry.RemoveDeadline()
+	if answer.Length > responder.BufferLimit || answer.Length < 0 || !d.Budget.Take(answer.Length, true) {
+		if answer.Length >= 0 {
+			expiry.RemoveDeadline()
+		}
 		response.Body = &cancelingBody{ReadCloser: answer.Body, cancel: expiry.Cancel}
 		return attemptResult{response: response, mayHaveRun: true, reachedServer: true}
 	}
-	content, err := io.ReadAll(answer.Body)
+	content, err := readWhole(answer)
 	_ = answer.Body.Close()
 	if err != nil {
+		d.Budget.Release(answer.Length)
 		refusal := d.newRefusal(flow.ReasonAnswerShort, stepDispatch, err.Error())
 		if expirer.Expired(ctx) {
 			refusal.Reason = flow.ReasonTimeout
@@ -320,14 +323,27 @@
 	}
 	expiry.Cancel()
 	d.recordResponseSize(ex.route.Name, len(content))
-	response.Body = io.NopCloser(bytes.NewReader(content))
+	response.Body = d.Budget.Hold(content, answer.Length)
 	response.ContentLength = int64(len(content))
 	if responder.HasNoBody(ex.request.Method, answer.Status) {
+		_ = response.Body.Close()
 		response.Body = http.NoBody
 	}
 	return attemptResult{response: response, mayHaveRun: true, reachedServer: true}
 }
 
+// readWhole reads the body of a response of known length, in a buffer of that length.
+func readWhole(answer *transporter.Answer) ([]byte, error) {
+	content := make([]byte, answer.Length)
+	if _, err := io.ReadFull(answer.Body, content); err != nil {
+		return nil, err
+	}
+	if n, err := answer.Body.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return content, nil
+}
+
 // recordResponseSize updates the moving average of the size of a route's responses.
 func (d *Dispatcher) recordResponseSize(route string, size int) {
 	d.mu.Lock()
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -24,7 +24,9 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/pipeliner"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
@@ -51,6 +53,7 @@
 
 // The steps that a refusal names.
 const (
+	stepScreen       = flow.Step("screen")
 	stepRoute        = flow.Step("route")
 	stepAuthenticate = flow.Step("authenticate")
 	stepTakeToken    = flow.Step("draw")
@@ -91,6 +94,7 @@
 	// MaxProofAge is the proof age above which requests are refused. 0 means no
 	// limit, so that a daemon that has lost contact continues to serve.
 	MaxProofAge time.Duration
+	Budget      *budgeter.Budget // of the memory for bodies; nil for no limit
 	Transporter *transporter.Client
 	Allowance   Allowance
 	Observer    Observer
@@ -158,7 +162,9 @@
 type exchange struct {
 	id           string
 	request      *http.Request
-	body         []byte
+	key          string // with which the request came
+	screened     bool   // a token was taken before the body was read
+	body         flow.Body
 	started      flow.Time
 	deadline     flow.Time
 	catalog      *cataloger.Catalog
@@ -174,20 +180,55 @@
 	response     *http.Response
 }
 
-// Handle returns the response to a request. It returns nil if the caller had already
-// disconnected.
-func (d *Dispatcher) Handle(ctx context.Context, request *http.Request, body []byte) (response *http.Response) {
-	if ctx.Err() != nil {
-		return nil
-	}
-	ex := &exchange{
+// newExchange returns the state of a request that has arrived. It takes the key out of the
+// request.
+func (d *Dispatcher) newExchange(request *http.Request) *exchange {
+	key := request.Header.Get(d.HeaderNames.Key)
+	request.Header.Del(d.HeaderNames.Key)
+	return &exchange{
 		id:         request.Header.Get(d.HeaderNames.RequestID),
 		request:    request,
-		body:       body,
+		key:        key,
 		started:    d.Clock.Now(),
 		catalog:    d.Catalog(),
 		retryAfter: -1,
 	}
+}
+
+// Handle returns the response to a request. It returns nil if the caller had already
+// disconnected.
+func (d *Dispatcher) Handle(ctx context.Context, request *http.Request, body flow.Body) *http.Response {
+	ex := d.newExchange(request)
+	ex.body = body
+	return d.handle(ctx, ex)
+}
+
+// Screen checks a request before its body is read: its route, its key and its rate.
+func (d *Dispatcher) Screen(ctx context.Context, request *http.Request) (screening pipeliner.Screening) {
+	ex := d.newExchange(request)
+	defer recoverer.Recover(d.Log, string(stepScreen), func() {
+		screening.Refusal = d.refusalResponse(ex, d.newRefusal(flow.ReasonServerFailed, stepScreen, recoverer.Cause))
+	})
+	if refusal := d.admit(ctx, ex); refusal != nil {
+		ex.response = d.refusalResponse(ex, refusal)
+		d.finish(ctx, ex, refusal)
+		return pipeliner.Screening{Refusal: ex.response}
+	}
+	return pipeliner.Screening{
+		TimeLeft: ex.deadline.Sub(ex.started),
+		Urgent:   ex.isCall,
+		Handle: func(ctx context.Context, body flow.Body, waited time.Duration) *http.Response {
+			ex.body, ex.screened, ex.started = body, true, d.Clock.Now().Add(-waited)
+			return d.handle(ctx, ex)
+		},
+	}
+}
+
+// handle returns the response to a request whose body has been read.
+func (d *Dispatcher) handle(ctx context.Context, ex *exchange) (response *http.Response) {
+	if ctx.Err() != nil {
+		return nil
+	}
 	defer recoverer.Recover(d.Log, string(stepDispatch), func() {
 		// Nothing is known about how far the request came.
 		response = d.refusalResponse(ex, d.newRefusal(flow.ReasonServerFailed, stepDispatch, recoverer.Cause))
@@ -209,6 +250,32 @@
 	if d.draining.Load() {
 		return d.newRefusal(flow.ReasonStopping, stepDispatch, "the daemon is stopping")
 	}
+	if ex.screened {
+		// The configuration may have changed while the body was read.
+		ex.catalog = d.Catalog()
+		if refusal := d.identify(ex); refusal != nil {
+			return refusal
+		}
+	} else if refusal := d.admit(ctx, ex); refusal != nil {
+		return refusal
+	}
+	ex.service = d.chooseService(ex.route)
+	return d.dispatch(ctx, ex)
+}
+
+// admit checks what can be checked without the body, and takes a token.
+func (d *Dispatcher) admit(ctx context.Context, ex *exchange) *flow.Refusal {
+	if d.draining.Load() {
+		return d.newRefusal(flow.ReasonStopping, stepDispatch, "the daemon is stopping")
+	}
+	if refusal := d.identify(ex); refusal != nil {
+		return refusal
+	}
+	return d.takeToken(ctx, ex)
+}
+
+// identify finds the route and the customer of a request, and sets its deadline.
+func (d *Dispatcher) identify(ex *exchange) *flow.Refusal {
 	if refusal := d.findRoute(ex); refusal != nil {
 		return refusal
 	}
@@ -216,11 +283,7 @@
 		return refusal
 	}
 	d.setDeadline(ex)
-	if refusal := d.takeToken(ctx, ex); refusal != nil {
-		return refusal
-	}
-	ex.service = d.chooseService(ex.route)
-	return d.dispatch(ctx, ex)
+	return nil
 }
 
 func (d *Dispatcher) findRoute(ex *exchange) *flow.Refusal {
@@ -242,21 +305,19 @@
 	return nil
 }
 
-// authenticate finds the customer by the key, and removes the key from the request.
+// authenticate finds the customer by the key.
 func (d *Dispatcher) authenticate(ex *exchange) *flow.Refusal {
-	key := ex.request.Header.Get(d.HeaderNames.Key)
-	ex.request.Header.Del(d.HeaderNames.Key)
 	if !ex.catalog.KeysRequired {
 		return nil
 	}
-	ex.customer = ex.catalog.CustomerByKey(key)
+	ex.customer = ex.catalog.CustomerByKey(ex.key)
 	switch {
 	case ex.customer != nil:
 		return nil
 	case ex.route.Open:
-		ex.isCall = key == ""
+		ex.isCall = ex.key == ""
 		return nil
-	case key == "":
+	case ex.key == "":
 		return d.newRefusal(flow.ReasonKeyMissing, stepAuthenticate, "no key came with the request")
 	}
 	return d.newRefusal(flow.ReasonKeyUnknown, stepAuthenticate, "the key is unknown")
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -204,7 +204,7 @@
 	if change != nil {
 		change(request)
 	}
-	response := f.Handle(context.Background(), request, []byte("body"))
+	response := f.Handle(context.Background(), request, flow.Body{[]byte("body")})
 	body, _ := io.ReadAll(response.Body)
 	return response.StatusCode, string(body), response.Header
 }
@@ -535,3 +535,44 @@
 		Version: 3, Routes: []flow.RouteRule{route}, Services: []flow.ServiceRule{{Name: "other"}}, Customers: []flow.CustomerRule{*catalog.Customer("shop")},
 	}, servers, nil)
 }
+
+// TestScreenedRequest checks requests before their bodies are read, and again afterwards: a
+// key may be withdrawn while a body arrives. A token is taken once.
+func TestScreenedRequest(t *testing.T) {
+	cases := map[string]struct {
+		key      string
+		withdraw bool // while the body is read
+		screened int  // status of the refusal, 0 for none
+		handled  int
+	}{
+		"known key":     {"k", false, 0, http.StatusOK},
+		"unknown key":   {"x", false, http.StatusUnauthorized, 0},
+		"withdrawn key": {"k", true, 0, http.StatusUnauthorized},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, &testServer{})
+			request := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/book/"}, Host: "a.example", Header: http.Header{
+				names.RequestID: {"id"}, names.Key: {tc.key}, names.TimeLeft: {"5000"},
+			}}
+			screening := f.Screen(t.Context(), request)
+			if tc.screened != 0 {
+				is.Equal(screening.Refusal.StatusCode, tc.screened)
+				return
+			}
+			is.Equal(screening.Refusal, nil)
+			is.Equal(screening.TimeLeft, 700*time.Millisecond)
+			if tc.withdraw {
+				catalog := *f.catalog.Load()
+				f.catalog.Store(cataloger.Build(6, &flow.Configuration{
+					Version: 4, Routes: []flow.RouteRule{*catalog.Route("a.example", "/book/")},
+					Customers: []flow.CustomerRule{{Name: "shop", Keys: []string{"other"}, Priority: -1, PerSecond: 5}},
+				}, catalog.Servers("stock"), nil))
+			}
+			response := screening.Handle(t.Context(), flow.Body{[]byte("body")}, 0)
+			is.Equal(response.StatusCode, tc.handled)
+			is.Equal(f.runs() > 0, tc.handled == http.StatusOK)
+		})
+	}
+}
--- a/internal/request/executor/endless_test.go
+++ b/internal/request/executor/endless_test.go
@@ -97,3 +97,28 @@
 		})
 	}
 }
+
+// TestEndlessBodyEndsAtDeadline has a server send a body of unknown length without end, to a
+// caller that reads on. Its deadline was removed once the first MiB had arrived, and the slot
+// was taken for as long as the caller stayed.
+func TestEndlessBodyEndsAtDeadline(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nSeal: s\r\n"
+	for name, tc := range map[string]struct{ beginning, piece string }{
+		"no length": {head + "\r\n", strings.Repeat("a", 1000)},
+		"chunks":    {head + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("a", 1000) + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, sent := startEndlessServer(t, tc.beginning, tc.piece)
+			f := newFixture(t, address, 1)
+			offer := newOffer()
+			offer.TimeLeft = 500 * time.Millisecond
+			began := time.Now()
+			_, refusal := f.run(t.Context(), offer, "/x/")
+			is.True(refusal != nil) // never complete
+			is.True(time.Since(began) < 2*time.Second)
+			is.True(sent.Load() > 2<<20) // it was passed on as it came
+			is.Equal(f.Status().Running, 0)
+		})
+	}
+}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +22,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/httpdialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
@@ -37,6 +39,8 @@
 	// maxResponseHeaderBytes limits the head of a response, since each running
 	// request may hold that much memory while a failing server sends without end.
 	maxResponseHeaderBytes = 256 << 10
+	// readBufferBytes is the size of the kernel's buffer for a connection to the server.
+	readBufferBytes = 256 << 10
 	// queueCheckInterval is how often the queue is checked while no request
 	// ends, such as when the server hangs.
 	queueCheckInterval = 100 * time.Millisecond
@@ -67,6 +71,7 @@
 	Clock     flow.Clock
 	Catalog   func() *cataloger.Catalog
 	Observer  Observer
+	Budget    *budgeter.Budget // of the memory for bodies; nil for no limit
 	Log       logr.Logger
 }
 
@@ -100,7 +105,7 @@
 	return &Executor{
 		Parts: parts,
 		transport: &http.Transport{
-			DialContext:         httpdialer.New(dialTimeout, parts.Connector).DialContext,
+			DialContext:         dialServer(httpdialer.New(dialTimeout, parts.Connector)),
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     idleTimeout,
@@ -114,6 +119,18 @@
 	}
 }
 
+// dialServer returns a function that opens connections to the backend server. The kernel would
+// let their read buffers grow to several MiB while a response is not read.
+func dialServer(dialer *httpdialer.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if socket, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+			_ = socket.SetReadBuffer(readBufferBytes)
+		}
+		return conn, err
+	}
+}
+
 // Stop makes the executor refuse the waiting offers and all further ones. A request
 // that started late in the stop of the daemon would be cut at its end.
 func (e *Executor) Stop() {
@@ -476,12 +493,15 @@
 	e.Observer.Admitted(s.offer.Server, "", took)
 	if response.Rest == nil {
 		e.finish(s.id, outcome.goodDuration(took))
-		return &transporter.Answer{Status: response.Status, Header: response.Header, Length: int64(len(response.Buffered)), Body: io.NopCloser(bytesReader(response.Buffered))}, nil
+		return &transporter.Answer{Status: response.Status, Header: response.Header, Length: int64(len(response.Buffered)), Body: e.Budget.Hold(response.Buffered, response.Held)}, nil
 	}
 	return &transporter.Answer{Status: response.Status, Header: response.Header, Length: response.Length, Body: &streamedBody{
 		Reader: io.MultiReader(bytesReader(response.Buffered), response.Rest),
 		rest:   response.Rest,
-		end:    func() { e.finish(s.id, 0) },
+		end: func() {
+			e.finish(s.id, 0)
+			e.Budget.Release(response.Held)
+		},
 	}}, nil
 }
 
--- a/internal/request/executor/send.go
+++ b/internal/request/executor/send.go
@@ -74,7 +74,7 @@
 			err = fmt.Errorf("the answer echoes request %q", response.Header[e.Names.RequestID])
 			_ = response.Body.Close()
 		}
-		if unsent && mayRepeat && trace.Connected() && ctx.Err() == nil {
+		if unsent && mayRepeat && trace.Connected() && ctx.Err() == nil && (incoming.Stream == nil || !incoming.Stream.Begun()) {
 			continue
 		}
 		out := e.outcomeWithoutResponse(ctx, unsent, err)
@@ -100,7 +100,11 @@
 	if s.offer.Customer != "" {
 		header.Set(e.Names.Customer, s.offer.Customer)
 	}
-	return composer.Compose(ctx, incoming.Method, "http://"+e.Address+incoming.Target, incoming.Host, header, incoming.Body)
+	request, err := composer.Compose(ctx, incoming.Method, "http://"+e.Address+incoming.Target, incoming.Host, header, incoming.Body)
+	if err == nil && incoming.Stream != nil {
+		composer.SetStream(request, incoming.Stream.Open(), incoming.Length)
+	}
+	return request, err
 }
 
 func (e *Executor) failedOutcome(verdict flow.Verdict, reason flow.Reason, cause error) outcome {
@@ -159,22 +163,39 @@
 		_ = response.Body.Close()
 		return nil, e.failedOutcome(flow.VerdictFailed, flow.ReasonAnswerForeign, errors.New("the answer is encoded or bears no mark of the server"))
 	}
-	answer, err := responder.ReadResponseUntilClose(response, responder.BufferLimit)
+	answer, err := responder.ReadResponseHeld(response, responder.BufferLimit, func(bytes int64) bool { return e.Budget.Take(bytes, true) })
 	if err != nil {
+		e.Budget.Release(answer.Held)
 		out := e.outcomeOfIncompleteResponse(ctx, flow.ReasonAnswerShort, err)
 		expiry.Cancel()
 		return nil, out
 	}
 	responder.RemoveHopByHopHeaders(answer.Header)
 	answer.Header.Del("Content-Length")
-	if answer.Rest != nil {
-		expiry.RemoveDeadline()
-	} else {
+	switch {
+	case answer.Rest == nil:
 		expiry.Cancel()
+	case answer.Length >= 0:
+		expiry.RemoveDeadline()
+		answer.Rest = &cancelingRest{answer.Rest, expiry}
+	default: // it may have no end
+		answer.Rest = &cancelingRest{answer.Rest, expiry}
 	}
 	return answer, outcome{verdict: verdictOfStatus(response.StatusCode), status: response.StatusCode}
 }
 
+// cancelingRest is the rest of a body whose Close ends the context of its request.
+type cancelingRest struct {
+	io.ReadCloser
+	expiry *expirer.Expiry
+}
+
+// Close ends the context and closes the body.
+func (r *cancelingRest) Close() error {
+	r.expiry.Cancel()
+	return r.ReadCloser.Close()
+}
+
 // notRunOutcome recognizes the responses with which a backend server states
 // that it did not run the request. A server may shed a request before it reads the
 // headers, so that the response lacks the id. That is accepted only as the first
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -126,22 +126,66 @@
 	Buffered []byte        // the whole body, or the first part of it if Rest is set
 	Rest     io.ReadCloser // the unread part of the body; nil if Buffered is the whole body
 	Length   int64         // of the body in bytes; -1 if unknown or if there is no body
+	Held     int64         // bytes that ReadResponseHeld has taken
 }
 
-// ReadResponse reads up to limit bytes of a response's body. If the body is longer,
-// the Response has a Rest to be read. It is an error if the body is truncated, or if
-// nothing marks its end, since then a truncated body cannot be recognized.
-func ReadResponse(response *http.Response, limit int) (*Response, error) {
-	return readResponse(response, limit, false)
+// SmallLimit is the size in bytes up to which a response of unknown length is read before
+// its buffer is taken to be as large as the limit.
+const SmallLimit = 16 << 10
+
+// ReadResponseHeld is ReadResponse for backend servers that may end a body by closing the
+// connection; a reset of the connection is an error. It calls take before it buffers bytes,
+// and buffers no more than that allows: the Response then has a Rest earlier. The Response
+// holds the bytes that were taken until the caller of ReadResponseHeld gives them back.
+func ReadResponseHeld(response *http.Response, limit int, take func(bytes int64) bool) (*Response, error) {
+	result := &Response{Status: response.StatusCode, Header: response.Header, Length: -1}
+	if !mayHaveBody(response) {
+		_ = response.Body.Close()
+		return result, nil
+	}
+	result.Length = response.ContentLength
+	whole := min(int64(limit), max(response.ContentLength, 0))
+	sizes := []int64{whole}
+	if response.ContentLength < 0 {
+		sizes = []int64{SmallLimit, int64(limit) - SmallLimit}
+	}
+	var content bytes.Buffer
+	for i, size := range sizes {
+		if size > 0 && !take(size) {
+			break
+		}
+		result.Held += size
+		if i > 0 || response.ContentLength > 0 {
+			content.Grow(int(size) + bytes.MinRead) // room for the read that returns io.EOF
+		}
+		if _, err := io.CopyN(&content, response.Body, size); err != nil {
+			return endOfBuffered(result, response, content.Bytes(), err)
+		}
+	}
+	result.Buffered = content.Bytes()
+	if response.ContentLength >= 0 && response.ContentLength == int64(len(result.Buffered)) {
+		// The transport needs the read that returns io.EOF to use the connection again.
+		_, err := io.CopyN(io.Discard, response.Body, 1)
+		return endOfBuffered(result, response, result.Buffered, err)
+	}
+	result.Rest = response.Body
+	return result, nil
 }
 
-// ReadResponseUntilClose is ReadResponse for backend servers that may end a body by
-// closing the connection. A reset of the connection is an error.
-func ReadResponseUntilClose(response *http.Response, limit int) (*Response, error) {
-	return readResponse(response, limit, true)
+// endOfBuffered returns a response whose body has ended, with io.EOF if it is complete.
+func endOfBuffered(result *Response, response *http.Response, content []byte, err error) (*Response, error) {
+	_ = response.Body.Close()
+	if !errors.Is(err, io.EOF) {
+		return result, Error.Wrap(err)
+	}
+	result.Buffered, result.Length = content, int64(len(content))
+	return result, nil
 }
 
-func readResponse(response *http.Response, limit int, untilClose bool) (*Response, error) {
+// ReadResponse reads up to limit bytes of a response's body. If the body is longer,
+// the Response has a Rest to be read. It is an error if the body is truncated, or if
+// nothing marks its end, since then a truncated body cannot be recognized.
+func ReadResponse(response *http.Response, limit int) (*Response, error) {
 	result := &Response{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -151,7 +195,7 @@
 		_ = response.Body.Close()
 		return result, nil
 	}
-	if response.ContentLength < 0 && !untilClose && !isChunked(response) {
+	if response.ContentLength < 0 && !isChunked(response) {
 		_ = response.Body.Close()
 		return nil, Error.New("the end of the body is not marked")
 	}
--- a/pkg/flow/outcome.go
+++ b/pkg/flow/outcome.go
@@ -43,6 +43,7 @@
 	ReasonNoRoute                Reason = "no-route"
 	ReasonMethodNotAllowed       Reason = "method-not-allowed"
 	ReasonRequestTooLarge        Reason = "request-too-large"
+	ReasonNoRoom                 Reason = "no-room"
 	ReasonRequestMalformed       Reason = "request-malformed"
 	ReasonOverRate               Reason = "over-rate"
 	ReasonRateUnavailable        Reason = "rate-unavailable"
@@ -95,6 +96,7 @@
 var reasonRows = []ReasonRow{
 	{ReasonRequestMalformed, http.StatusBadRequest, OutcomeNotRun, "The request is malformed", "Send a well-formed HTTP/1.1 request."},
 	{ReasonRequestTooLarge, http.StatusRequestEntityTooLarge, OutcomeNotRun, "The request is too large", "Send a smaller body."},
+	{ReasonNoRoom, http.StatusServiceUnavailable, OutcomeNotRun, "The daemon has no memory for the body just now", "Repeat after the time in Retry-After."},
 	{ReasonKeyInURL, http.StatusBadRequest, OutcomeNotRun, "A key stands in the URL", "Send the key in the Authorization header; replace the key, since URLs are logged."},
 	{ReasonNoRoute, http.StatusNotFound, OutcomeNotRun, "No route matches", "Check the path against the published routes."},
 	{ReasonMethodNotAllowed, http.StatusMethodNotAllowed, OutcomeNotRun, "The route does not allow the method", "Use a method that the route allows."},
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -132,7 +132,7 @@
 	},
 	{
 		Name: "memory", Type: SettingBytes, Default: "256MiB", Min: "32MiB", Max: "64GiB",
-		Help:   "Memory that the process may use.",
+		Help:   "Memory that the process may use. Bodies take 0.4 of it at most; see sizing.md.",
 		target: func(s *Settings) any { return &s.Sidecar.Memory },
 	},
 	{
