Bodies that trickle make room for others; an unknown wait is tried

Cause: an announced body kept its room for up to 30 s while it trickled, and a body was refused at once where nothing had been released lately, although the only body before it could end at any moment.

Change: a large body that comes at under 64 KiB a second after 2 s is refused with 408 while others wait. Bodies wait if the rate of releases is not known. A body that would not fit alone is refused as too large.

--- a/internal/connection/pipeliner/body.go
+++ b/internal/connection/pipeliner/body.go
@@ -21,6 +21,11 @@
 	// bodySilence bounds the time between two bytes of a body, which holds memory
 	// meanwhile. Callers whose link drops packets are silent for 3 s at most.
 	bodySilence = 5 * time.Second
+	// minBodyRate is the rate, in bytes per second, that a large body has to arrive at after
+	// rateGrace while others wait for room. A body that trickles would keep its room for all
+	// of bodyTimeout.
+	minBodyRate = 64 << 10
+	rateGrace   = 2 * time.Second
 	// roomShare is the part of a request's time left in which its body may wait for room.
 	// The rest is needed to read and to run it.
 	roomShare = 0.5
@@ -61,6 +66,8 @@
 // Error implements error.
 func (e *refusedError) Error() string { return "the request is refused before its body is read" }
 
+var errTooSlow = &statusError{http.StatusRequestTimeout, errors.New("the body comes too slowly, and others wait for its memory")}
+
 var errTooLong = &statusError{http.StatusRequestEntityTooLarge, errors.New("the body is too long")}
 
 // incoming is a request with its body.
@@ -70,6 +77,8 @@
 	body    flow.Body
 	held    int64         // bytes of the budget that the body takes
 	waited  time.Duration // for room
+	began   time.Time     // when the body began to be read
+	read    int64         // bytes of the body
 }
 
 // take takes room for bytes of the body at once.
@@ -90,6 +99,7 @@
 	}
 	in.held += bytes
 	in.waited = time.Since(began)
+	in.began = in.began.Add(in.waited)
 	return nil
 }
 
@@ -110,11 +120,12 @@
 	switch {
 	case length == 0:
 		return nil
-	case length > limit:
+	case length > limit, !c.server.Budget.Fits(length):
 		return errTooLong
 	}
 	c.limited.N = 2*limit + defaultHeaderBytes // leaves room for the framing of chunks
-	end := time.Now().Add(bodyTimeout)
+	in.began = time.Now()
+	end := in.began.Add(bodyTimeout)
 	if length > budgeter.SmallBytes {
 		return c.readAnnounced(in, length, end)
 	}
@@ -172,6 +183,9 @@
 		if room == 0 {
 			break
 		}
+		if !c.server.Budget.Fits(in.held + room) {
+			return errTooLong
+		}
 		if isFirst {
 			err = c.await(in, room, urgent, time.Duration(roomShare*float64(left)))
 			end = end.Add(in.waited)
@@ -258,12 +272,22 @@
 
 // readPart reads what comes next of a body, until the end at the latest.
 func (c *conn) readPart(in *incoming, p []byte, end time.Time) (int, error) {
-	_ = c.raw.SetReadDeadline(earlier(time.Now().Add(bodySilence), end))
-	return in.request.Body.Read(p)
+	now := time.Now()
+	if took := now.Sub(in.began); took > rateGrace && in.held > budgeter.SmallBytes &&
+		float64(in.read) < minBodyRate*took.Seconds() && c.server.Budget.Waiting() > 0 {
+		return 0, errTooSlow
+	}
+	_ = c.raw.SetReadDeadline(earlier(now.Add(bodySilence), end))
+	n, err := in.request.Body.Read(p)
+	in.read += int64(n)
+	return n, err
 }
 
 // bodyError classifies an error of reading a body. An incomplete request must not run.
 func bodyError(err error) error {
+	if errors.Is(err, errTooSlow) {
+		return err
+	}
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return &statusError{http.StatusRequestTimeout, errors.New("the body did not come in time")}
--- a/internal/process/budgeter/budget.go
+++ b/internal/process/budgeter/budget.go
@@ -34,6 +34,9 @@
 	return b.ledger.Take(bytes, begun)
 }
 
+// Fits reports whether a body would fit if there were no others.
+func (b *Budget) Fits(bytes int64) bool { return b == nil || bytes <= b.ledger.large }
+
 // Release gives back room that was taken.
 func (b *Budget) Release(bytes int64) {
 	if b == nil || bytes == 0 {
@@ -53,8 +56,8 @@
 	}
 }
 
-// Await takes the room of a claim, and waits for it until the limit if it is likely to come
-// by then. If there is none, it returns false and the time until there may be some.
+// Await takes the room of a claim, and waits for it until the limit unless it is expected
+// later. If there is none, it returns false and the time until there may be some.
 func (b *Budget) Await(ctx context.Context, claim Claim, limit time.Duration) (ok bool, retryAfter time.Duration) {
 	if b == nil {
 		return true, 0
@@ -99,9 +102,9 @@
 	if b.ledger.Take(claim.Bytes, false) {
 		return nil, 0
 	}
-	wait := b.wait(claim)
-	if wait > limit || !b.ledger.Enqueue(claim) {
-		return nil, wait
+	wait, known := b.ledger.Wait(b.clock.Now(), claim)
+	if known && wait > limit || !b.ledger.Enqueue(claim) {
+		return nil, max(wait, time.Millisecond)
 	}
 	granted := make(chan struct{})
 	b.grants[claim] = granted
@@ -110,7 +113,17 @@
 
 // wait estimates the wait of a claim, and is never 0. The mutex must be held.
 func (b *Budget) wait(claim *Claim) time.Duration {
-	return max(b.ledger.Wait(b.clock.Now(), claim), time.Millisecond)
+	wait, _ := b.ledger.Wait(b.clock.Now(), claim)
+	return max(wait, time.Millisecond)
+}
+
+// Waiting returns the number of bodies that wait for room.
+func (b *Budget) Waiting() int {
+	if b == nil {
+		return 0
+	}
+	_, waiting := b.Usage()
+	return waiting
 }
 
 // Usage returns the bytes that are taken and the number of bodies that wait for room.
--- a/internal/process/budgeter/ledger.go
+++ b/internal/process/budgeter/ledger.go
@@ -130,8 +130,9 @@
 }
 
 // Wait estimates the time until a claim gets room, from what is needed before it and from
-// the rate at which room was given back lately.
-func (l *Ledger) Wait(now flow.Time, claim *Claim) time.Duration {
+// the rate at which room was given back lately. Without any the wait is not known, and the
+// result is unknownWait.
+func (l *Ledger) Wait(now flow.Time, claim *Claim) (wait time.Duration, known bool) {
 	needed := claim.Bytes + l.used - l.large
 	for _, other := range l.waiting {
 		if other != claim && before(other, claim) <= 0 {
@@ -139,7 +140,7 @@
 		}
 	}
 	if needed <= 0 {
-		return 0
+		return 0, true
 	}
 	l.advance(now)
 	var released int64
@@ -147,10 +148,10 @@
 		released += bytes
 	}
 	if released == 0 {
-		return unknownWait
+		return unknownWait, false
 	}
 	seconds := float64(needed) * rateWindow / float64(released)
-	return min(time.Duration(seconds*float64(time.Second)), maxEstimate)
+	return time.Duration(min(seconds, maxEstimate.Seconds()) * float64(time.Second)), true
 }
 
 // advance clears the seconds that have passed since the last release.
