Send an idempotent request elsewhere while an overdue run holds it

Cause: nothing acted on a run that hangs before its deadline.

Change: package profiler learns from when on a run of a route and server is overdue. Such a run is evidence against its server at once, and an idempotent request that it holds is sent to another server, within the retry budget and the maximum of attempts. The first response counts, the other run is cancelled. While most runs are overdue nothing is sent twice. The simulator has servers that hang (trouble "hang"), second sends, and the policy "waits".

--- a/internal/connection/transporter/message.go
+++ b/internal/connection/transporter/message.go
@@ -24,6 +24,7 @@
 	IsRetry      bool          `msgpack:"e,omitempty"` // the request has reached a backend server before, whether it ran or not
 	Trial        bool          `msgpack:"t,omitempty"` // the request may try a server that is suspected of failing
 	Forced       bool          `msgpack:"x,omitempty"` // try the server even if it was tried a moment ago
+	OverdueAfter time.Duration `msgpack:"o,omitempty"` // duration after which a run is overdue, as far as the ingress knows
 	TimeToTarget time.Duration `msgpack:"a"`           // until the target latency is exceeded
 	TimeLeft     time.Duration `msgpack:"l"`           // until the deadline of the request
 }
--- a/internal/process/estimator/breaker.go
+++ b/internal/process/estimator/breaker.go
@@ -49,6 +49,9 @@
 // GrayProbability returns the probability that the server is gray.
 func (b *Breaker) GrayProbability(now flow.Time) float64 { return b.estimate.GrayProbability(now) }
 
+// Suspect reports whether the server is suspected of failing.
+func (b *Breaker) Suspect(now flow.Time) bool { return b.estimate.Suspect(now) }
+
 // Request holds the properties of a request that decide whether it may run.
 type Request struct {
 	Repeatable bool // may run more than once
--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -53,6 +53,9 @@
 	// minAttemptsForTrial is the number of attempts a request must have left to try
 	// a suspected server: one for that server and one for a retry elsewhere.
 	minAttemptsForTrial = 2
+	// overdueProbability is the probability that a server with an overdue run is gray, as its
+	// daemon would estimate it from one such run.
+	overdueProbability = 0.9
 	// crossZoneWaitPenalty is added to the expected wait of a server in another zone.
 	crossZoneWaitPenalty = 80 * time.Millisecond
 )
@@ -335,6 +338,13 @@
 	state.reported, state.reportedAt, state.freeSlots = true, now, 0
 }
 
+// MarkOverdue records that a run on a server takes much longer than others. The server counts as
+// suspected until its daemon reports a load again, or the suspicion expires.
+func (s *Selector) MarkOverdue(now flow.Time, server string) {
+	state := s.state(now, server)
+	state.reported, state.reportedAt, state.grayProbability = true, now, max(state.grayProbability, overdueProbability)
+}
+
 // BeginRequest counts an offer or request to a server as in flight. Each call needs
 // one call of EndRequest.
 func (s *Selector) BeginRequest(now flow.Time, server string) { s.state(now, server).inFlight++ }
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -95,8 +95,8 @@
 		return attemptResult{}, false
 	}
 	ex.lastServer = server.ID
-	result := d.run(ctx, ex, server, attempt)
-	d.recordOutage(ex.service, result, attempt.Load)
+	d.reportLimit(ex, server, attempt.Load)
+	result := d.runUntilAnswered(ctx, ex, server, attempt, tried)
 	tried[server.ID] = true
 	if result.mayHaveRun {
 		ex.possibleRuns++
@@ -197,6 +197,7 @@
 		IsRetry:      ex.isRetry,
 		Trial:        offer.Trial,
 		Forced:       offer.Forced,
+		OverdueAfter: d.knownLimit(ex, offer),
 		TimeToTarget: ex.started.Add(ex.route.TargetLatency).Sub(now),
 		TimeLeft:     ex.deadline.Sub(now),
 	}
@@ -280,6 +281,9 @@
 		refusal = &flow.Refusal{Reason: flow.ReasonTimeout, Step: refusal.Step, Peer: refusal.Peer, Detail: "the answer did not come in time"}
 	case d.aborted.Err() != nil:
 		refusal.Detail = "the daemon stops: " + refusal.Detail
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		// What the daemon reported at the grant is older than what is known of the server since.
+		return attemptResult{refusal: &flow.Refusal{Reason: refusal.Reason, Step: refusal.Step, Peer: refusal.Peer, Detail: errOvertaken.Error()}, mayHaveRun: true, reachedServer: true}
 	case ctx.Err() != nil:
 		refusal.Detail = "the caller has left"
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/profiler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
@@ -131,6 +132,7 @@
 
 	mu            sync.Mutex
 	selector      *selector.Selector
+	profiler      *profiler.Profiler
 	outages       map[string]*retrier.Outage // by service
 	responseSizes map[string]float64         // moving average in bytes, by route
 }
@@ -146,6 +148,7 @@
 		aborted:       aborted,
 		abort:         abort,
 		selector:      selector.New(parts.Random),
+		profiler:      profiler.New(),
 		outages:       map[string]*retrier.Outage{},
 		responseSizes: map[string]float64{},
 	}
@@ -337,6 +340,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.selector.Sweep(d.Clock.Now(), idle)
+	catalog := d.Catalog()
+	listed := map[string]bool{}
+	for service := range catalog.Services() {
+		for _, server := range catalog.Servers(service) {
+			listed[server.ID] = true
+		}
+	}
+	d.profiler.Retain(func(server string) bool { return listed[server] })
 }
 
 func (d *Dispatcher) newRefusal(reason flow.Reason, step flow.Step, detail string) *flow.Refusal {
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/httpdialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/profiler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
@@ -42,6 +43,8 @@
 	// queueCheckInterval is how often the queue is checked while no request
 	// ends, such as when the server hangs.
 	queueCheckInterval = 100 * time.Millisecond
+	// idleWatch is the limit of a run of which no limit is known.
+	idleWatch = time.Minute
 	// coldAfterFailedDials is the number of consecutive failed connection
 	// attempts after which the server counts as cold when it responds again.
 	coldAfterFailedDials = 3
@@ -85,6 +88,7 @@
 	nextID      uint64
 	waiters     map[uint64]waiter
 	overdue     map[uint64]bool
+	profiler    *profiler.Profiler
 	charger     *retrier.CallCharger
 	shedUntil   flow.Time // when the backend server takes requests again, as it said
 	failedDials int       // consecutive connections that could not be opened
@@ -115,6 +119,7 @@
 		breaker:   estimator.NewBreaker(parts.Clock.Now()),
 		waiters:   map[uint64]waiter{},
 		overdue:   map[uint64]bool{},
+		profiler:  profiler.New(),
 		charger:   retrier.NewCallCharger(rand.New(rand.NewPCG(rand.Uint64(), 0))),
 	}
 }
@@ -186,6 +191,7 @@
 			"cold-ms", entry.ColdRemaining.Milliseconds(), "revision", catalog.Revision)
 		e.server = entry.ID
 		e.breaker = estimator.NewBreaker(now)
+		e.profiler = profiler.New()
 		e.transport.CloseIdleConnections()
 	}
 	e.scheduler.SetSlots(entry.Slots)
@@ -415,6 +421,7 @@
 		FreeSlots:       e.scheduler.FreeSlots(),
 		QueueWait:       e.scheduler.ExpectedWait(),
 		GrayProbability: e.breaker.GrayProbability(now),
+		Overdue:         len(e.overdue),
 		DrainTime:       max(e.shedUntil.Sub(now), 0),
 	}
 }
@@ -463,13 +470,20 @@
 	id       uint64
 	offer    *transporter.Offer
 	deadline flow.Time
+	ended    bool // the run has ended; guarded by the executor's mutex
 }
 
 // Release implements transporter.Slot.
 func (s *slot) Release() { s.executor.finish(s.id, 0) }
 
 // Load implements transporter.Slot.
-func (s *slot) Load() transporter.Load { return s.executor.Load(s.offer.Server) }
+func (s *slot) Load() transporter.Load {
+	load := s.executor.Load(s.offer.Server)
+	s.executor.mu.Lock()
+	defer s.executor.mu.Unlock()
+	load.OverdueAfter = s.executor.profiler.OwnLimit(s.offer.Route, s.offer.Server)
+	return load
+}
 
 // Run implements transporter.Slot.
 func (s *slot) Run(ctx context.Context, request *transporter.Request) (*transporter.Answer, error) {
@@ -480,8 +494,9 @@
 		e.finish(s.id, 0)
 		return nil, e.newRefusal(flow.ReasonNoCapacity, stepRun, "no time is left")
 	}
-	e.begin(s)
+	watch := e.begin(s)
 	response, outcome := e.send(ctx, s, request, left)
+	watch.Stop()
 	took := e.Clock.Now().Sub(began)
 	e.recordOutcome(s, outcome, took)
 	if outcome.refusal != nil {
@@ -500,11 +515,35 @@
 	}}, nil
 }
 
-// begin records that the run of a slot begins.
-func (e *Executor) begin(s *slot) {
+// begin records that the run of a slot begins. The timer records evidence against the server once
+// the run is overdue.
+func (e *Executor) begin(s *slot) (watch *time.Timer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.charger.Begin(s.id, s.offer.IsRetry)
+	limit, ok := e.profiler.Limit(s.offer.Route, s.offer.Server)
+	if !ok {
+		limit = s.offer.OverdueAfter
+	}
+	if limit <= 0 {
+		limit = idleWatch // recordOverdue judges the run by its mean
+	}
+	return time.AfterFunc(profiler.EvidenceAfter(limit), func() { e.noteOverdue(s) })
+}
+
+// noteOverdue records evidence against the server if a run that is overdue still goes on.
+func (e *Executor) noteOverdue(s *slot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	if s.ended || e.overdue[s.id] || s.offer.Server != e.server {
+		return
+	}
+	e.overdue[s.id] = true
+	e.profiler.Overdue(s.offer.Route)
+	e.recordEvidence(now, now, estimator.NoResponse, "a request is overdue")
+	e.Log.Info("request is overdue", "request", s.offer.ID, "server", s.offer.Server, "route", s.offer.Route,
+		"gray", roundShare(e.breaker.GrayProbability(now)), "overdue", len(e.overdue))
 }
 
 // recordOutcome records the outcome of a run. It releases the slot if there is no
@@ -529,6 +568,10 @@
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	blamed = e.breaker.BlamesCall(now, out.verdict, out.status)
+	s.ended = true
+	if s.offer.Server == e.server {
+		e.profiler.Ended(s.offer.Route, s.offer.Server, took, e.overdue[s.id], out.verdict == flow.VerdictGood)
+	}
 	evidence, isEvidence := estimator.EvidenceOf(out.verdict, took, e.scheduler.MeanDuration(s.offer.Route))
 	if isEvidence && !blamed && !e.overdue[s.id] && s.offer.Server == e.server {
 		e.recordEvidence(now, now.Add(-took), evidence, out.text())
--- a/internal/simulator/pattern.go
+++ b/internal/simulator/pattern.go
@@ -90,6 +90,9 @@
 	LeaveEarly TroubleKind = "leave-early"
 	// Slow multiplies the service time of a share of the servers by the factor.
 	Slow TroubleKind = "slow"
+	// Hang makes a share of the servers answer only after hangTime, and then with a failure, with
+	// the factor as probability.
+	Hang TroubleKind = "hang"
 	// Shed makes a share of the servers refuse requests, with the factor as probability.
 	Shed TroubleKind = "shed"
 	// ZoneOut takes the first zone out of service.
@@ -102,7 +105,7 @@
 )
 
 var troubleKinds = map[TroubleKind]bool{
-	Burst: true, HotCustomer: true, RepeatAtOnce: true, LeaveEarly: true, Slow: true,
+	Burst: true, HotCustomer: true, RepeatAtOnce: true, LeaveEarly: true, Slow: true, Hang: true,
 	Shed: true, ZoneOut: true, ColdReturn: true, RollingRestart: true,
 }
 
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -33,6 +33,7 @@
 	newQueue   func(slots int) Queue
 	plan       func(s *selector.Selector, random *rand.Rand, now flow.Time, query selector.Query) []selector.Offer
 	noEjection bool // no server is ever suspected
+	waits      bool // overdue runs are waited for: they are no evidence, and no request is sent a second time meanwhile
 }
 
 // DaemonPolicy is the name of the policy with all decisions of the daemon.
@@ -50,6 +51,7 @@
 		{Name: "first-come", Help: "a fixed queue, first come first served", newQueue: newFixedQueue, plan: plan},
 		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: plan},
 		{Name: "no-ejection", Help: "no server is ejected, however many requests it fails", newQueue: daemonQueue, plan: plan, noEjection: true},
+		{Name: "waits", Help: "overdue runs are waited for until their deadline", newQueue: daemonQueue, plan: plan, waits: true},
 	}
 }
 
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/profiler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
@@ -32,6 +33,8 @@
 	coldTime      = 3 * time.Second
 	coldPerSecond = 25.0
 	coldFactor    = 2.0
+	// hangTime is how long a server that hangs takes for a request.
+	hangTime = 6 * time.Second
 	// restartTime is how long a daemon is unreachable during a restart.
 	restartTime = 1500 * time.Millisecond
 	// drainTime is how long the simulation continues after the last arrival, for requests
@@ -68,6 +71,7 @@
 type ingress struct {
 	zone           string
 	selector       *selector.Selector
+	profiler       *profiler.Profiler             // of the runs of its requests
 	ledgers        map[string]*ratelimiter.Ledger // by service
 	poolEmptyUntil map[string]flow.Time           // by service, as the owner of its retries said
 	awayUntil      flow.Time                      // its daemon is unreachable until then
@@ -81,6 +85,8 @@
 	queue            Queue
 	charger          *retrier.CallCharger
 	breaker          *estimator.Breaker
+	profiler         *profiler.Profiler       // of its runs
+	overdue          int                      // running requests that are overdue
 	queued           map[uint64]queuedRequest // by request ID
 	gray             bool
 	advanceScheduled bool // advancing the queue is scheduled
@@ -135,6 +141,7 @@
 		zone := "zone-" + strconv.Itoa(number%sim.pattern.Zones)
 		host := &ingress{
 			zone:           zone,
+			profiler:       profiler.New(),
 			selector:       selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
 			ledgers:        map[string]*ratelimiter.Ledger{},
 			poolEmptyUntil: map[string]flow.Time{},
@@ -147,6 +154,7 @@
 			queue:     sim.policy.newQueue(service.Slots),
 			charger:   retrier.NewCallCharger(rand.New(rand.NewPCG(uint64(number), 4))),
 			breaker:   estimator.NewBreaker(0),
+			profiler:  profiler.New(),
 			queued:    map[uint64]queuedRequest{},
 			coldUntil: flow.Never,
 		}
--- a/pkg/flow/load.go
+++ b/pkg/flow/load.go
@@ -14,6 +14,9 @@
 	Queued          int           `msgpack:"q,omitempty"` // requests that wait for a slot
 	MeanDuration    time.Duration `msgpack:"m,omitempty"` // mean duration of the running requests' routes at this server
 	Overdue         int           `msgpack:"o,omitempty"` // running requests that take much longer than their routes usually do
+	// OverdueAfter is the duration after which a run of the offered route is overdue at this
+	// server, by its runs alone.
+	OverdueAfter time.Duration `msgpack:"r,omitempty"`
 	// AdmitRank is 1 plus the least urgent rank of work that would still be in time at this
 	// server; 0 means any. See package scheduler.
 	AdmitRank int           `msgpack:"a,omitempty"`
