--- a/internal/explainer/events.go
+++ b/internal/explainer/events.go
@@ -27,6 +27,8 @@
 	{"retry budget is used up", "a failure was passed on because the service has no retries left", []string{"service"}},
 	{"request could not be read", "a caller sent a malformed request", []string{"step", "cause", "peer"}},
 	{"suspicion of the backend server changed", "a backend server is suspected of failing, or no longer", []string{"suspect", "gray", "cause"}},
+	{"request is overdue", "a run takes longer than almost all of its route; it counts against the backend server", []string{"route", "gray", "overdue"}},
+	{"request is sent a second time", "a run is overdue, and the request is also sent to another backend server", []string{"service", "route", "second", "took-ms"}},
 	{"backend server is new", "the backend server of this daemon was started, or is listed for the first time", []string{"service", "slots", "cold-ms", "revision"}},
 	{"listed backend server has ended", "another process uses its address", []string{"cause"}},
 	{"backend server responds again and counts as cold", "it refused connections before, and counts as cold until it has warmed up", []string{"cold-ms"}},
