Only daemons that did not reply count as slow to answer an offer

A refusal led to the next offer at once, and the server of the newest offer, which had just replied or been asked, was marked as out of reach if an older offer had no reply. TestOnlySilentDaemonsAreSlow failed before.

--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
@@ -42,6 +43,7 @@
 	truncate bool        // the response body is truncated
 	hang     bool        // the run lasts until its context ends
 	wait     bool        // the request waits for a slot until its context ends
+	silent   bool        // no reply to an offer until its context ends
 	gray     float64     // reported probability that the server fails most of its work
 	delay    time.Duration
 	onAdmit  func() // called before an offer is granted; may be nil
@@ -56,8 +58,10 @@
 type testExecutor struct{ *testServer }
 
 func (e testExecutor) Admit(ctx context.Context, offer *transporter.Offer, onQueued func()) (transporter.Slot, error) {
-	if e.wait {
-		onQueued()
+	if e.wait || e.silent {
+		if e.wait {
+			onQueued()
+		}
 		<-ctx.Done()
 		return nil, &flow.Refusal{Reason: flow.ReasonCancelled}
 	}
@@ -213,6 +217,30 @@
 	return response.StatusCode, string(body), response.Header
 }
 
+// TestOnlySilentDaemonsAreSlow guards against daemons that are passed over as out of reach
+// though they have just refused or queued an offer, while an earlier one got no reply.
+func TestOnlySilentDaemonsAreSlow(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, &testServer{silent: true}, &testServer{refuse: flow.ReasonBusy}, &testServer{refuse: flow.ReasonBusy}, &testServer{refuse: flow.ReasonBusy})
+	var mu sync.Mutex
+	slow := map[string]bool{}
+	f.Log = funcr.New(func(_, line string) {
+		if _, rest, ok := strings.Cut(line, "daemon is slow to answer an offer"); ok {
+			mu.Lock()
+			defer mu.Unlock()
+			_, rest, _ = strings.Cut(rest, `"server"="`)
+			slow[rest[:2]] = true
+		}
+	}, funcr.Options{Verbosity: 1})
+	for range 6 {
+		status, _, _ := f.send(t, http.MethodPost, "/book/", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(slow, map[string]bool{"s0": true})
+}
+
 func (f *fixture) runs() (sum int) {
 	for _, server := range f.servers {
 		server.mu.Lock()
--- a/internal/request/dispatcher/offer.go
+++ b/internal/request/dispatcher/offer.go
@@ -16,6 +16,10 @@
 // the scheduling delay on a small host.
 const hedgeDelay = 70 * time.Millisecond
 
+// timerTolerance is how much earlier than hedgeDelay, by the project's clock in
+// milliseconds, its timer may fire.
+const timerTolerance = 2 * time.Millisecond
+
 // offerReply is a daemon's reply to an offer.
 type offerReply struct {
 	server  *flow.ServerEntry
@@ -35,6 +39,7 @@
 	defer context.AfterFunc(d.stopped, expiry.Cancel)()
 	replies := make(chan offerReply, 2*len(plan))
 	pending, next := 0, 0
+	unanswered := map[*flow.ServerEntry]flow.Time{} // when each offer without any reply was sent
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -47,17 +52,18 @@
 		}
 		select {
 		case <-timer.C:
-			if pending > 0 {
-				d.markSlow(ex, plan[next-1].Server)
-			}
+			d.markSlow(ex, unanswered)
 			if mayOffer {
-				d.countInFlight(plan[next].Server, 1)
-				go d.sendOffer(offerCtx, d.newOffer(ex, plan[next]), plan[next].Server, replies)
+				server := plan[next].Server
+				d.countInFlight(server, 1)
+				unanswered[server] = d.Clock.Now()
+				go d.sendOffer(offerCtx, d.newOffer(ex, plan[next]), server, replies)
 				pending, next = pending+1, next+1
 				ex.offers++
 				timer.Reset(hedgeDelay)
 			}
 		case r := <-replies:
+			delete(unanswered, r.server)
 			switch {
 			case r.attempt != nil:
 				d.updateLoad(r.server, r.attempt.Load)
@@ -75,13 +81,22 @@
 	}
 }
 
-// markSlow marks a server whose daemon is slow to reply as unreachable. It is passed
-// over for a while, or until its daemon reports a load again.
-func (d *Dispatcher) markSlow(ex *exchange, server *flow.ServerEntry) {
+// markSlow marks the servers whose daemons have not replied to an offer within hedgeDelay
+// as unreachable, and removes them from the unanswered offers. They are passed over for a
+// while, or until their daemons report a load again. A daemon that has just been asked is
+// not slow: another one's refusal may have caused its offer.
+func (d *Dispatcher) markSlow(ex *exchange, unanswered map[*flow.ServerEntry]flow.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.selector.MarkUnreachable(d.Clock.Now(), server.ID)
-	d.Log.V(1).Info("daemon is slow to answer an offer", "request", ex.id, "server", server.ID, "peer", server.Host)
+	now := d.Clock.Now()
+	for server, sentAt := range unanswered {
+		if now.Sub(sentAt) < hedgeDelay-timerTolerance {
+			continue
+		}
+		delete(unanswered, server)
+		d.selector.MarkUnreachable(now, server.ID)
+		d.Log.V(1).Info("daemon is slow to answer an offer", "request", ex.id, "server", server.ID, "peer", server.Host)
+	}
 }
 
 // sendOffer makes one offer and sends the replies to the channel.
