Restrictions survive several eras; overtaken updates bring nothing back

A change up to the known revision is now ignored. - A restricted entry that the copy of a second restore lacked lapsed, and so was in use again. - A daemon lifted a restriction that another one had lifted by a later revision, and used the entry until it knew that. Lifts now name their revision. - Processes that an entry at the same address had replaced came back with a copy. - Calls that a silent store had held led to a full read by each of them at its return: up to 17 in 5 s on 4 zones. Full reads after a restore now wait for a random time of up to 0.5 s, and are given up when another daemon was faster. - The end of a call that was given up could count as a failed read.

--- a/internal/process/follower/platform.go
+++ b/internal/process/follower/platform.go
@@ -56,7 +56,8 @@
 	nextAt   flow.Time   // when the next call begins; Never while the newest one is not late
 	timer    *time.Timer // runs until then
 	backoff  backoff
-	retried  bool // a call was begun since the platform was heard to answer others
+	retried  bool   // a call was begun since the platform was heard to answer others
+	era      uint64 // that was known when the newest call began
 
 	calling     context.Context // of the calls since the last answer
 	cancelCalls context.CancelFunc
@@ -101,7 +102,7 @@
 		case <-r.timer.C:
 			r.beginIfDue()
 		case <-f.platformHeard:
-			r.retry()
+			r.retry(ctx)
 		case <-changed:
 		case <-ctx.Done():
 			return
@@ -125,7 +126,7 @@
 	r.running++
 	r.nextAt = flow.Never
 	r.timer.Stop()
-	r.begunAt = f.Clock.Now()
+	r.begunAt, r.era = f.Clock.Now(), f.revision().Era()
 	call := platformCall{id: r.newest, begunAt: r.begunAt}
 	late := call
 	late.err = errLate
@@ -138,6 +139,9 @@
 
 // report hands on what became of a call, unless it no longer matters.
 func (r *platformReader) report(ctx context.Context, call platformCall) {
+	if ctx.Err() != nil {
+		return // otherwise the end of a call that was given up could count as a failure
+	}
 	select {
 	case r.calls <- call:
 	case <-ctx.Done():
@@ -202,7 +206,14 @@
 
 // retry begins a call, once, when the platform has answered another daemon since the newest
 // call that is late or has failed. Hosts that rank below the first reader hear of it then.
-func (r *platformReader) retry() {
+// Calls that began in an earlier era are given up: they would read everything, which is known
+// now.
+func (r *platformReader) retry(ctx context.Context) {
+	if r.follower.revision().Era() > r.era {
+		r.restart(ctx)
+		r.begin(r.follower.platformWait())
+		return
+	}
 	if _, rank, _ := r.follower.currentTurn(); rank > 0 {
 		return
 	}
--- a/internal/process/replicator/replicator.go
+++ b/internal/process/replicator/replicator.go
@@ -170,6 +170,8 @@
 		}
 	case ok && change.Revision <= known.Revision:
 		return false
+	case change.Revision <= s.revision && !s.isLost(change):
+		return false // it is known, and was deleted if there is no such item: the update was overtaken
 	}
 	if change.Configuration != nil {
 		s.version = change.Configuration.Version
@@ -216,15 +218,20 @@
 		if s.InGrace(now) || lost && s.inEraGrace(now) {
 			continue
 		}
-		change := s.changes[key]
-		change.Server = nil
-		s.changes[key] = change
-		delete(s.lapsed, key)
+		s.unlist(key)
 		removed = true
 	}
 	return removed
 }
 
+// unlist takes a lapsed entry out of use.
+func (s *State) unlist(key string) {
+	change := s.changes[key]
+	change.Server = nil
+	s.changes[key] = change
+	delete(s.lapsed, key)
+}
+
 // Known is what a daemon knows that asks for news.
 type Known struct {
 	Revision     flow.Revision
--- a/internal/process/replicator/replicator_test.go
+++ b/internal/process/replicator/replicator_test.go
@@ -171,6 +171,8 @@
 	reader.Apply(0, flow.Update{Full: true, Revision: 20, Changes: []flow.Change{server("a", 5)}}) // b was deleted meanwhile
 	follower.Apply(0, reader.Since(0, follower.Revision()))
 	is.Equal(inForce(follower), "0 [a]")
+	reader.Apply(0, flow.Update{Full: true, Revision: 15, Changes: []flow.Change{server("a", 5), server("b", 12)}})
+	is.Equal(inForce(reader), "0 [a]") // an update that was overtaken brings nothing back
 	is.True(!reader.Since(0, 20).Full)
 	is.True(!follower.Since(0, 15).Full) // b's deletion is known here
 	for revision := flow.Revision(30); revision < 300; revision += 10 {
--- a/internal/process/replicator/restriction.go
+++ b/internal/process/replicator/restriction.go
@@ -57,12 +57,13 @@
 
 type restriction struct {
 	flow.Restriction
-	over bool // the bound has passed
+	lifted bool // what is known includes the reason
+	over   bool // the bound has passed
 }
 
 func newEra() era { return era{since: flow.Never, kept: map[string]*restriction{}} }
 
-func (r *restriction) active() bool { return !r.Lifted && !r.over }
+func (r *restriction) active() bool { return !r.lifted && !r.over }
 
 // covers reports whether a restriction is on the process that an entry describes.
 func (r *restriction) covers(server *flow.ServerEntry) bool {
@@ -120,7 +121,7 @@
 
 // beginEra begins the era of a full update. It keeps the restrictions that this contradicts.
 func (s *State) beginEra(now flow.Time, update flow.Update) {
-	candidates := s.restrictions()
+	candidates, newest := s.restrictions(), s.newestStarts()
 	if s.revision != 0 {
 		s.era.restores += update.Revision.Era() - s.revision.Era()
 	}
@@ -135,16 +136,36 @@
 	for _, change := range update.Changes {
 		copied[change.Key] = change
 	}
+	before := s.era.kept
 	s.era.kept = map[string]*restriction{}
-	for _, candidate := range candidates {
-		change, ok := copied[candidate.Key]
+	for key, candidate := range candidates {
+		change, ok := copied[key]
 		permits := ok && change.Server != nil && !change.Server.Draining && candidate.covers(change.Server) && change.Revision <= s.era.first
-		if candidate.ZoneOut != "" && !ok || permits {
-			s.era.kept[candidate.Key] = candidate
+		// An entry that was restricted must not lapse, either, which keeps it in use.
+		missing := !ok && (candidate.ZoneOut != "" || before[key] == candidate)
+		if permits || missing {
+			s.era.kept[key] = candidate
+		}
+	}
+	for key, change := range copied {
+		if change.Server != nil && !change.Server.Draining && change.Server.StartedUnixMs < newest[change.Server.Address] && change.Revision <= s.era.first {
+			s.era.kept[key] = &restriction{Restriction: flow.Restriction{Key: key, StartedUnixMs: change.Server.StartedUnixMs}}
 		}
 	}
 }
 
+// newestStarts returns the start of the newest process at each address. Those that started
+// before it are gone, also if it has left since.
+func (s *State) newestStarts() map[string]int64 {
+	newest := map[string]int64{}
+	for _, change := range s.changes {
+		if change.Server != nil {
+			newest[change.Server.Address] = max(newest[change.Server.Address], change.Server.StartedUnixMs)
+		}
+	}
+	return newest
+}
+
 // restrictions returns all that is draining, gone or out of service. A process that is in use
 // means that those with its id that started before it are gone.
 func (s *State) restrictions() map[string]*restriction {
@@ -162,6 +183,7 @@
 	}
 	for key, kept := range s.era.kept {
 		if kept.active() {
+			kept.LiftedAt = 0 // by an era that is over
 			found[key] = kept
 		}
 	}
@@ -195,18 +217,22 @@
 		s.era.first = min(s.era.first, update.EraFirst)
 		s.era.since = min(s.era.since, now.Add(-update.EraAge))
 	}
-	before := s.Restricted()
+	before, removed := s.Restricted(), false
 	for _, other := range update.Kept {
 		kept, ok := s.era.kept[other.Key]
 		switch {
 		case !ok || other.StartedUnixMs > kept.StartedUnixMs:
 			s.era.kept[other.Key] = &restriction{Restriction: other}
-		case other.StartedUnixMs == kept.StartedUnixMs && other.Lifted && !kept.Lifted:
-			s.liftOne(kept, LiftedWritten)
+			if change := s.changes[other.Key]; change.Deleted && change.Server != nil && s.era.kept[other.Key].covers(change.Server) {
+				s.unlist(other.Key) // it has not lapsed but left
+				removed = true
+			}
+		case other.StartedUnixMs == kept.StartedUnixMs && kept.LiftedAt == 0:
+			kept.LiftedAt = other.LiftedAt
 		}
 	}
 	s.lift(now)
-	return !slices.Equal(before, s.Restricted())
+	return removed || !slices.Equal(before, s.Restricted())
 }
 
 // lift lifts the restrictions whose time has come, and reports whether there were any.
@@ -214,7 +240,7 @@
 	serversOver, zonesOver := s.inContactFor(now, serverBound), s.inContactFor(now, zoneBound)
 	lifted := false
 	for key, kept := range s.era.kept {
-		if kept.Lifted {
+		if kept.lifted {
 			continue
 		}
 		change, listed := s.changes[key]
@@ -230,7 +256,7 @@
 			continue
 		}
 		switch {
-		case written:
+		case written || kept.LiftedAt != 0 && kept.LiftedAt <= s.revision:
 			s.liftOne(kept, LiftedWritten)
 			lifted = true
 		case over && !kept.over:
@@ -242,12 +268,16 @@
 	return lifted
 }
 
-// liftOne lifts a restriction for a reason that other daemons must hear of, too.
+// liftOne lifts a restriction for a reason that other daemons must hear of, too. They lift it
+// once they know as much.
 func (s *State) liftOne(kept *restriction, reason string) {
 	if kept.active() {
 		s.era.lifts = append(s.era.lifts, Lift{Key: kept.Key, Reason: reason})
 	}
-	kept.Lifted = true
+	kept.lifted = true
+	if kept.LiftedAt == 0 {
+		kept.LiftedAt = s.revision
+	}
 }
 
 // digest returns a number that tells sets of restrictions apart; 0 for none.
@@ -255,7 +285,7 @@
 	sum := uint64(0)
 	for key, kept := range e.kept {
 		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(key + "\x00" + strconv.FormatInt(kept.StartedUnixMs, 10) + strconv.FormatBool(kept.Lifted)))
+		_, _ = hash.Write([]byte(key + "\x00" + strconv.FormatInt(kept.StartedUnixMs, 10) + strconv.FormatBool(kept.LiftedAt != 0)))
 		sum += hash.Sum64()
 	}
 	return sum
--- a/pkg/flow/deployment.go
+++ b/pkg/flow/deployment.go
@@ -29,7 +29,8 @@
 	Key           string `msgpack:"k"`
 	ZoneOut       string `msgpack:"z,omitempty"` // availability zone; "" if this is about a backend server
 	StartedUnixMs int64  `msgpack:"b,omitempty"` // start of the backend server's process; 0 if not known
-	Lifted        bool   `msgpack:"l,omitempty"` // it was written again, or the server has restarted
+	// Revision by which it was written again, or the server has restarted; 0 if it is not lifted.
+	LiftedAt Revision `msgpack:"l,omitempty"`
 }
 
 // Configuration is one version of all that operators declare.
