Load reports travel with the fetches within a zone

An ingress that sends 3 to 4 requests a second learned of suspected and unreachable servers by probing them, request by request, and trusted what it had learned for at most 1 s.

Package disseminator holds a table with the newest report of each server and its age. A fetch carries the load of the requester's own server and what the requester found out of reach; the answer carries what has changed in the table of the peer, at once when a suspicion or a silence begins or ends. The selector takes the newer of a report and its own knowledge: suspicion counts longer the more daemons of the zone know of it, trials wait until the server takes one (ServerLoad.TrialIn), and servers that others cannot reach come after all others. Setting load-reports, default true.

The simulator runs the same exchange, has the troubles hang and partition, and counts offers.

--- a/internal/process/estimator/breaker.go
+++ b/internal/process/estimator/breaker.go
@@ -71,6 +71,15 @@
 	return true
 }
 
+// TrialIn returns the time until a suspected server takes a request that is a trial, or 0 if
+// it takes one now or is not suspected.
+func (b *Breaker) TrialIn(now flow.Time) time.Duration {
+	if !b.estimate.Suspect(now) {
+		return 0
+	}
+	return max(trialInterval-now.Sub(b.lastTrial), 0)
+}
+
 // CallFailed records that a call made by the server itself failed.
 func (b *Breaker) CallFailed(now flow.Time) { b.lastCallFailure = now }
 
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/replicator"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -43,7 +44,8 @@
 	Random   *rand.Rand // used only by the goroutine that reads the platform
 	// ApplyWithin is the time within which a change must be in force everywhere.
 	ApplyWithin time.Duration
-	FirstStart  bool // the whole deployment starts for the first time
+	FirstStart  bool                   // the whole deployment starts for the first time
+	Reports     *disseminator.Exchange // load reports that travel with the fetches; nil for none
 	OnChange    func(*cataloger.Catalog)
 }
 
@@ -118,6 +120,9 @@
 	loops.Go(func() { f.expireLapsed(ctx) })
 	loops.Go(func() { f.keepInTouch(ctx) })
 	loops.Go(func() { f.readOtherZones(ctx) })
+	if f.Reports != nil {
+		loops.Go(func() { f.keepReports(ctx) })
+	}
 	f.askPeers(ctx)
 	loops.Wait()
 	f.background.Wait()
@@ -358,6 +363,8 @@
 		return nil, err
 	}
 	received, wasLost, over := f.Clock.Now(), false, false
+	peer := request.(listener.Request).Peer.Host
+	position := f.Reports.Receive(peer, f.inOwnZone(peer), fetch.Reports)
 	wait := time.NewTimer(min(time.Duration(fetch.WaitMs)*time.Millisecond, peerWatchWait))
 	defer wait.Stop()
 	for {
@@ -372,11 +379,18 @@
 			return nil, errNothingKnown
 		}
 		held := now.Sub(received)
-		if over || update.Revision > fetch.After || regained || fetch.hasNews(update, held) {
-			return newFetchAnswer(update, fetch.Large, held), nil
+		reported, hasReports := f.Reports.News(position)
+		if over || update.Revision > fetch.After || regained || fetch.hasNews(update, held) || hasReports && held >= reportPause {
+			answer := newFetchAnswer(update, fetch.Large, held)
+			answer.Reports = f.Reports.Answer(position)
+			return answer, nil
+		}
+		if hasReports {
+			wait.Reset(reportPause - held)
 		}
 		select {
 		case <-changed:
+		case <-reported:
 		case <-wait.C:
 			over = true
 		case <-ctx.Done():
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -36,15 +36,17 @@
 	Large   bool          `msgpack:"l,omitempty"` // send configurations too
 	Waiting bool          `msgpack:"n,omitempty"` // the requester knows that the peer's source is lost, and waits for news
 	AgeMs   int64         `msgpack:"p,omitempty"` // proof age of what the requester knows, if Waiting
+	Reports []byte        `msgpack:"t,omitempty"` // of package disseminator
 }
 
 // FetchAnswer is the answer to a FetchRequest. A configuration is announced first
 // and sent on request, so that a peer that is busy sending can be told from a silent
 // one.
 type FetchAnswer struct {
-	Update flow.Update `msgpack:"u"`
-	Large  bool        `msgpack:"l,omitempty"` // there is a configuration, which must be requested
-	HeldMs int64       `msgpack:"h,omitempty"` // how long the peer held the request before it answered
+	Update  flow.Update `msgpack:"u"`
+	Large   bool        `msgpack:"l,omitempty"` // there is a configuration, which must be requested
+	HeldMs  int64       `msgpack:"h,omitempty"` // how long the peer held the request before it answered
+	Reports []byte      `msgpack:"t,omitempty"` // of package disseminator
 }
 
 // onTheWay returns the longest time that the answer can have been on its way, of the time since
@@ -183,11 +185,14 @@
 	if request.WaitMs > 0 || request.Large {
 		connections = f.Dialer
 	}
+	reports := f.Reports.NewRequest(peer)
+	request.Reports = reports.Encoded
 	sentAt := f.Clock.Now()
 	err := connections.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
 	if err != nil {
 		return FetchAnswer{}, err
 	}
+	f.Reports.ReceiveAnswer(peer, f.inOwnZone(peer), reports, answer.Reports)
 	answer.Update.Age += answer.onTheWay(f.Clock.Now().Sub(sentAt))
 	if !answer.Large { // what is only announced is not known yet
 		f.noteHeard(peer, sentAt)
--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -39,6 +39,9 @@
 	// trialInterval is the minimum time between trial requests from one daemon to
 	// one suspected server.
 	trialInterval = 700 * time.Millisecond
+	// trialPeers is the number of daemons of a zone that try a suspected server at the same
+	// time, on average, while all know of the suspicion.
+	trialPeers = 8.0
 	// goneBackoff is how long a server that has ended is skipped while its entry is
 	// still listed.
 	goneBackoff = 5 * time.Second
@@ -53,6 +56,10 @@
 	// minAttemptsForTrial is the number of attempts a request must have left to try
 	// a suspected server: one for that server and one for a retry elsewhere.
 	minAttemptsForTrial = 2
+	// doubtExpiry is how long the hint counts that a daemon is out of reach, and contactTrust
+	// how much newer than this daemon's own contact it must be.
+	doubtExpiry  = 3 * time.Second
+	contactTrust = 2 * time.Second
 	// crossZoneWaitPenalty is added to the expected wait of a server in another zone.
 	crossZoneWaitPenalty = 80 * time.Millisecond
 )
@@ -75,6 +82,9 @@
 	backoff         time.Duration
 	lastTrial       flow.Time
 	lastUsed        flow.Time
+	contactAt       flow.Time // when its daemon last answered this one
+	trialAt         flow.Time // when a suspected server takes a trial
+	doubtedAt       flow.Time // see Learned.DoubtedAt
 }
 
 // Selector keeps the last reported load and the reachability of each server.
@@ -103,6 +113,11 @@
 	Repeatable      bool            // see the function Repeatable
 	RetryBudgetLeft bool            // the retry budget allows a retry if this attempt fails
 	LargeResponse   bool            // the route's responses are large
+	// Informed is true if this daemon learns the loads that other daemons report (method
+	// Learn), so that it hears when a suspicion ends, and Peers the number of daemons in the
+	// zone that learn the same.
+	Informed bool
+	Peers    int
 }
 
 // Repeatable reports whether a request may run on a server that is suspected of
@@ -114,24 +129,29 @@
 
 // Plan returns the offers to make, in order, until a server accepts the request.
 func (s *Selector) Plan(now flow.Time, query Query) []Offer {
-	var usable, suspected, unreachable []Candidate
+	var usable, doubtful, suspected, unreachable []Candidate
 	for _, candidate := range query.Candidates {
 		state := s.state(now, candidate.Server.ID)
 		switch {
 		case query.Tried[candidate.Server.ID]:
 		case now.Before(state.skipUntil):
 			unreachable = append(unreachable, candidate)
-		case s.isSuspected(now, state):
+		case s.isSuspected(now, state, query):
 			suspected = append(suspected, candidate)
+		case query.Informed && state.isDoubtful(now):
+			doubtful = append(doubtful, candidate)
 		default:
 			usable = append(usable, candidate)
 		}
 	}
+	if len(usable) == 0 {
+		usable, doubtful = doubtful, nil
+	}
 	s.shuffle(usable)
 	var plan []Offer
 	explores := query.Repeatable && query.RetryBudgetLeft
 	if explores {
-		plan = s.trialOffers(now, suspected)
+		plan = s.trialOffers(now, suspected, query, true)
 	}
 	if query.LargeResponse {
 		// A large response is better queued for in this zone than sent between zones.
@@ -141,20 +161,32 @@
 		plan = append(plan, s.queueOffers(now, sameZone)...)
 	}
 	plan = append(plan, s.slotOffers(now, usable, explores)...)
+	if !explores && query.Informed && query.Repeatable {
+		plan = append(plan, s.trialOffers(now, suspected, query, false)...)
+	}
 	plan = append(plan, s.queueOffers(now, usable)...)
+	plan = append(plan, s.doubtfulOffers(doubtful)...)
 	if query.Repeatable || len(usable) == 0 {
 		plan = append(plan, s.lastResortOffers(now, suspected, unreachable, len(usable) == 0)...)
 	}
 	return plan
 }
 
-func (s *Selector) isSuspected(now flow.Time, state *serverState) bool {
+func (s *Selector) isSuspected(now flow.Time, state *serverState, query Query) bool {
 	if !state.reported || state.grayProbability <= estimator.SuspectThreshold {
 		return false
 	}
-	// A mild suspicion expires sooner than a strong one.
+	// A mild suspicion expires sooner than a strong one. The more daemons of the zone know of
+	// it, the longer it counts, since each of them then offers the server a request.
+	knowing := 1.0
+	if query.Informed {
+		knowing = max(float64(query.Peers)/trialPeers, 1)
+		if estimator.DecayToPrior(state.grayProbability, now.Sub(state.reportedAt)) <= estimator.SuspectThreshold {
+			return false
+		}
+	}
 	strength := (state.grayProbability - estimator.SuspectThreshold) / (1 - estimator.SuspectThreshold)
-	return now.Sub(state.reportedAt) < time.Duration((1+3*strength)*float64(loadReportTTL))
+	return now.Sub(state.reportedAt) < time.Duration(knowing*(1+3*strength)*float64(loadReportTTL))
 }
 
 func (s *Selector) shuffle(candidates []Candidate) {
@@ -163,10 +195,13 @@
 
 // trialOffers returns an offer to at most one suspected server in the same zone whose
 // last trial is at least trialInterval ago.
-func (s *Selector) trialOffers(now flow.Time, suspected []Candidate) []Offer {
+func (s *Selector) trialOffers(now flow.Time, suspected []Candidate, query Query, sameZone bool) []Offer {
+	if query.Informed && s.random.Float64()*float64(query.Peers) > trialPeers {
+		return nil // one of the other daemons
+	}
 	for _, candidate := range suspected {
 		state := s.state(now, candidate.Server.ID)
-		if candidate.SameZone && now.Sub(state.lastTrial) >= trialInterval {
+		if (candidate.SameZone || !sameZone) && s.trialDue(now, state, query.Informed) {
 			state.lastTrial = now
 			return []Offer{{Server: candidate.Server, Trial: true}}
 		}
@@ -174,6 +209,26 @@
 	return nil
 }
 
+// trialDue reports whether a suspected server may get a trial from this daemon.
+func (s *Selector) trialDue(now flow.Time, state *serverState, informed bool) bool {
+	if now.Sub(state.lastTrial) >= trialInterval {
+		return !informed || !now.Before(state.trialAt)
+	}
+	// A good response to a trial is followed by the next one at once.
+	return informed && state.reportedAt.After(state.lastTrial) && !now.Before(state.trialAt)
+}
+
+// doubtfulOffers returns offers to servers whose daemons others could not reach. They come
+// after all others, since an offer that gets no answer delays the request.
+func (s *Selector) doubtfulOffers(doubtful []Candidate) []Offer {
+	s.shuffle(doubtful)
+	var offers []Offer
+	for _, candidate := range doubtful[:min(len(doubtful), maxUnreachableOffers)] {
+		offers = append(offers, Offer{Server: candidate.Server, MayWait: true})
+	}
+	return offers
+}
+
 // slotOffers returns offers to the servers that may have a free slot, those in the
 // same zone first and nearly full servers last in their zone. A request explores if it
 // is repeatable and the retry budget allows a retry: it goes to the servers most likely
@@ -296,7 +351,7 @@
 func (s *Selector) state(now flow.Time, server string) *serverState {
 	state, ok := s.states[server]
 	if !ok {
-		state = &serverState{skipUntil: flow.Never, lastTrial: flow.Never, reportedAt: flow.Never}
+		state = &serverState{skipUntil: flow.Never, lastTrial: flow.Never, trialAt: flow.Never, reportedAt: flow.Never, contactAt: flow.Never, doubtedAt: flow.Never}
 		s.states[server] = state
 	}
 	state.lastUsed = now
@@ -307,8 +362,40 @@
 // is reachable, so this ends any backoff.
 func (s *Selector) UpdateLoad(now flow.Time, server string, load flow.ServerLoad) {
 	state := s.state(now, server)
-	state.reported, state.reportedAt, state.freeSlots, state.queueWait, state.grayProbability = true, now, load.FreeSlots, load.QueueWait, load.GrayProbability
+	state.setLoad(now, load)
 	state.skipUntil, state.backoff = flow.Never, 0
+	state.contactAt = now
+}
+
+func (state *serverState) setLoad(at flow.Time, load flow.ServerLoad) {
+	state.reported, state.reportedAt = true, at
+	state.freeSlots, state.queueWait, state.grayProbability, state.trialAt = load.FreeSlots, load.QueueWait, load.GrayProbability, at.Add(load.TrialIn)
+}
+
+// Learned is what other daemons say about a server.
+type Learned struct {
+	HasLoad    bool
+	Load       flow.ServerLoad
+	MeasuredAt flow.Time // of the load
+	// DoubtedAt is when another daemon of the zone found the server's daemon out of reach or
+	// silent; flow.Never if none did. This daemon may reach it all the same.
+	DoubtedAt flow.Time
+}
+
+// Learn records what other daemons say about a server. A load counts if it is newer than what
+// this daemon knows.
+func (s *Selector) Learn(now flow.Time, server string, learned Learned) {
+	state := s.state(now, server)
+	state.doubtedAt = max(state.doubtedAt, learned.DoubtedAt)
+	if learned.HasLoad && learned.MeasuredAt.After(state.reportedAt) {
+		state.setLoad(learned.MeasuredAt, learned.Load)
+	}
+}
+
+// isDoubtful reports whether another daemon could not reach the server's daemon, and this one
+// has not reached it recently or since.
+func (state *serverState) isDoubtful(now flow.Time) bool {
+	return now.Sub(state.doubtedAt) < doubtExpiry && state.doubtedAt.After(state.contactAt.Add(contactTrust))
 }
 
 // MarkUnreachable records that the path to a server's daemon failed. The backoff
@@ -332,7 +419,7 @@
 // MarkShed records that a server itself shed a request, so it has no free slot.
 func (s *Selector) MarkShed(now flow.Time, server string) {
 	state := s.state(now, server)
-	state.reported, state.reportedAt, state.freeSlots = true, now, 0
+	state.reported, state.reportedAt, state.freeSlots, state.contactAt = true, now, 0, now
 }
 
 // BeginRequest counts an offer or request to a server as in flight. Each call needs
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/pipeliner"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/follower"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/reporter"
@@ -68,6 +69,7 @@
 
 	follower    *follower.Follower
 	executor    *executor.Executor
+	reports     *disseminator.Exchange // nil if load reports are switched off
 	dispatcher  *dispatcher.Dispatcher
 	allowance   *allowance
 	callers     *pipeliner.Server
@@ -176,6 +178,15 @@
 	watchDialer, callDialer := dialer.New(control, nil), dialer.New(control, nil)
 	s.dialers = []*dialer.Dialer{watchDialer, callDialer}
 	s.offerClient = transporter.NewClient(data, nil)
+	if settings.Sidecar.LoadReports == "true" {
+		s.reports = disseminator.NewExchange(disseminator.Parts{
+			Clock:         s.clock,
+			Own:           func() (string, flow.ServerLoad) { return s.executor.OwnLoad() },
+			Table:         incarnation,
+			FirstSequence: uint64(time.Now().UnixMilli()),
+			Log:           s.log.WithName("reports"),
+		})
+	}
 	s.follower = follower.New(follower.Parts{
 		Host:     host,
 		Zone:     settings.AvailabilityZone,
@@ -187,6 +198,7 @@
 		Log:      s.log.WithName("follow"),
 		Random:   newRandom(1),
 		OnChange: s.applyCatalog,
+		Reports:  s.reports,
 
 		ApplyWithin: settings.Sidecar.ApplyWithin,
 		FirstStart:  settings.Sidecar.FirstStart == "true",
@@ -224,6 +236,7 @@
 		MaxProofAge: settings.Sidecar.MaxProofAge,
 		Transporter: s.offerClient,
 		Allowance:   s.allowance,
+		Reports:     s.reports,
 		Observer:    s.metrics,
 		CallFailed:  s.executor.CallFailed,
 		RetryShare:  s.executor.RetryShare,
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -138,12 +138,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
+	informed, peers := d.learnReports(now, candidates)
 	return d.selector.Plan(now, selector.Query{
 		Candidates:      candidates,
 		Tried:           tried,
 		Repeatable:      ex.repeatable(),
 		RetryBudgetLeft: d.retryBudget(ex.service).HasRetry(now),
 		LargeResponse:   d.responseSizes[ex.route.Name] > largeResponseSize,
+		Informed:        informed,
+		Peers:           peers,
 	})
 }
 
@@ -248,6 +251,7 @@
 			if refused.Absent {
 				s.MarkAbsent(now, server.ID)
 			} else {
+				d.Reports.NoteUnreachable(server.ID)
 				s.MarkUnreachable(now, server.ID)
 			}
 		})
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
@@ -93,6 +94,7 @@
 	MaxProofAge time.Duration
 	Transporter *transporter.Client
 	Allowance   Allowance
+	Reports     *disseminator.Exchange // what other daemons report; nil for nothing
 	Observer    Observer
 	CallFailed  func() // called when a call made by the host's backend server failed
 	// RetryShare returns the share of the requests running on the host's backend
--- a/internal/request/dispatcher/offer.go
+++ b/internal/request/dispatcher/offer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -71,12 +72,28 @@
 	}
 }
 
+// learnReports passes on to the selector what other daemons report about the candidates. It
+// returns whether the reports are current, and the number of daemons of the zone that share
+// them. The caller must hold the lock.
+func (d *Dispatcher) learnReports(now flow.Time, candidates []selector.Candidate) (informed bool, peers int) {
+	d.Reports.View(func(view disseminator.View) {
+		informed, peers = view.Current, view.Peers
+		for _, candidate := range candidates {
+			if report, ok := view.Get(candidate.Server.ID); ok {
+				d.selector.Learn(now, candidate.Server.ID, report.Learned(now))
+			}
+		}
+	})
+	return informed, peers
+}
+
 // markSlow marks a server whose daemon is slow to reply as unreachable. It is passed
 // over for a while, or until its daemon reports a load again.
 func (d *Dispatcher) markSlow(ex *exchange, server *flow.ServerEntry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.selector.MarkUnreachable(d.Clock.Now(), server.ID)
+	d.Reports.NoteUnreachable(server.ID)
 	d.Log.V(1).Info("daemon is slow to answer an offer", "request", ex.id, "server", server.ID, "peer", server.Host)
 }
 
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -402,9 +402,19 @@
 		FreeSlots:       e.scheduler.FreeSlots(),
 		QueueWait:       e.scheduler.ExpectedWait(),
 		GrayProbability: e.breaker.GrayProbability(e.Clock.Now()),
+		TrialIn:         e.breaker.TrialIn(e.Clock.Now()),
 	}
 }
 
+// OwnLoad returns the id of the current backend server, or "" if there is none, and its
+// load.
+func (e *Executor) OwnLoad() (server string, load flow.ServerLoad) {
+	e.mu.Lock()
+	server = e.server
+	e.mu.Unlock()
+	return server, e.Load(server)
+}
+
 // newRefusal returns a refusal by this host at a step.
 func (e *Executor) newRefusal(reason flow.Reason, step flow.Step, detail string) *flow.Refusal {
 	return &flow.Refusal{Reason: reason, Step: step, Peer: e.Host, Detail: detail}
--- a/internal/simulator/attempt.go
+++ b/internal/simulator/attempt.go
@@ -23,6 +23,9 @@
 
 // startAttempt runs a request that has a slot.
 func (sim *simulation) startAttempt(now flow.Time, r *request, s *server) {
+	if !r.found {
+		r.found, r.searched = true, now.Sub(r.start)
+	}
 	sim.reportLoad(now, r, s)
 	if r.isRetry && !sim.takeRetryToken(now, r) {
 		s.queue.Finish(r.id, 0)
@@ -73,6 +76,9 @@
 // it would succeed.
 func (sim *simulation) drawResult(now flow.Time, r *request, s *server) (length time.Duration, ok bool) {
 	length = sim.drawDuration(now, r, s)
+	if hang := sim.troubleOf(now, Hang, s); hang != nil && sim.workRandom.Float64() < hang.Factor {
+		return r.deadline.Sub(now) + time.Millisecond, false
+	}
 	switch {
 	case s.gray && sim.workRandom.Float64() < s.service.GrayFailShare:
 		return s.service.GrayFailAfter.AsDuration(), false
@@ -135,11 +141,10 @@
 		status = http.StatusInternalServerError
 	}
 	evidence, relevant := estimator.EvidenceOf(verdict, took, s.queue.MeanDuration(r.kind.Name))
-	if relevant && !s.breaker.BlamesCall(now, verdict, status) {
-		if suspect, changed := s.breaker.Observe(now, a.runStart, evidence); suspect && changed && !sim.policy.noEjection {
-			sim.redirectQueued(now, s)
-		}
+	if relevant && !s.overdue[r.id] && !s.breaker.BlamesCall(now, verdict, status) {
+		sim.observe(now, s, a.runStart, evidence)
 	}
+	delete(s.overdue, r.id)
 	goodDuration := time.Duration(0)
 	if verdict == flow.VerdictGood {
 		goodDuration = max(took, time.Millisecond)
@@ -156,6 +161,23 @@
 	sim.retryOrEnd(now, r, outcomeFailed)
 }
 
+// observe passes evidence to the breaker of a server.
+func (sim *simulation) observe(now flow.Time, s *server, began flow.Time, evidence estimator.Evidence) {
+	if suspect, changed := s.breaker.Observe(now, began, evidence); suspect && changed && !sim.policy.noEjection {
+		sim.redirectQueued(now, s)
+	}
+}
+
+// recordOverdue counts each overdue run of a server as a failure once.
+func (sim *simulation) recordOverdue(now flow.Time, s *server) {
+	for _, id := range s.queue.Overdue(now, estimator.OverdueMultiple, estimator.MinOverdue) {
+		if !s.overdue[id] {
+			s.overdue[id] = true
+			sim.observe(now, s, now, estimator.NoResponse)
+		}
+	}
+}
+
 // retryOrEnd offers a request whose attempt did not succeed to another server, or ends it.
 func (sim *simulation) retryOrEnd(now flow.Time, r *request, o outcome) {
 	mayHaveRun := o == outcomeFailed
--- a/internal/simulator/pattern.go
+++ b/internal/simulator/pattern.go
@@ -99,11 +99,16 @@
 	ColdReturn TroubleKind = "cold-return"
 	// RollingRestart restarts a share of the daemons one after the other.
 	RollingRestart TroubleKind = "rolling-restart"
+	// Hang makes a share of the servers hang requests until their deadline, with the factor as
+	// probability.
+	Hang TroubleKind = "hang"
+	// Partition cuts the hosts of a share of the daemons off from all other hosts.
+	Partition TroubleKind = "partition"
 )
 
 var troubleKinds = map[TroubleKind]bool{
 	Burst: true, HotCustomer: true, RepeatAtOnce: true, LeaveEarly: true, Slow: true,
-	Shed: true, ZoneOut: true, ColdReturn: true, RollingRestart: true,
+	Shed: true, ZoneOut: true, ColdReturn: true, RollingRestart: true, Hang: true, Partition: true,
 }
 
 // Read reads a pattern and its fleet from files of JSON with comments. It returns an error
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -25,6 +25,7 @@
 	Queued() int
 	RetryShare() float64
 	SetCold(now, until flow.Time, perSecond float64)
+	Overdue(now flow.Time, multiple float64, atLeast time.Duration) []uint64
 }
 
 // Policy is a way to make the decisions of a simulation.
@@ -34,6 +35,7 @@
 	newQueue   func(slots int) Queue
 	plan       func(s *selector.Selector, random *rand.Rand, now flow.Time, query selector.Query) []selector.Offer
 	noEjection bool // no server is ever suspected
+	noReports  bool // daemons learn of load from the answers to their own offers alone
 }
 
 // DaemonPolicy is the name of the policy with all decisions of the daemon.
@@ -51,6 +53,7 @@
 		{Name: "first-come", Help: "a fixed queue, first come first served", newQueue: newFixedQueue, plan: plan},
 		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: plan},
 		{Name: "no-ejection", Help: "no server is ejected, however many requests it fails", newQueue: daemonQueue, plan: plan, noEjection: true},
+		{Name: "no-reports", Help: "daemons do not tell each other the load of their servers", newQueue: daemonQueue, plan: plan, noReports: true},
 	}
 }
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -33,6 +33,9 @@
 	calledByRetry bool                         // it is a call that a retry makes
 	cancel        func(now flow.Time)          // removes it from the server where it waits or runs
 	ended         bool
+	found         bool          // a server has granted it a slot
+	offers        int           // until then
+	searched      time.Duration // until then
 }
 
 // startRequest starts a request of a caller.
@@ -109,11 +112,15 @@
 // offerByNewPlan offers a request by a new plan. It ends the request if the plan has no
 // offers that were not made yet, or if the search has reached its maximum of plans.
 func (sim *simulation) offerByNewPlan(now flow.Time, r *request) {
+	candidates := sim.candidates(now, r.kind.Service, r.ingress.zone)
+	informed, peers := sim.learnReports(now, r.ingress, candidates)
 	r.plan = sim.policy.plan(r.ingress.selector, sim.workRandom, now, selector.Query{
-		Candidates:      sim.candidates(now, r.kind.Service, r.ingress.zone),
+		Candidates:      candidates,
 		Tried:           r.tried,
 		Repeatable:      r.repeatable(),
 		RetryBudgetLeft: sim.daemonBudget(r).HasRetry(now),
+		Informed:        informed,
+		Peers:           peers,
 	})
 	if !r.search.RecordPlan(r.plan) {
 		sim.endRequest(now, r, r.finalOutcome(outcomeRefused))
@@ -156,10 +163,22 @@
 
 // offerAtServer decides, beside the server, on an offer.
 func (sim *simulation) offerAtServer(now flow.Time, r *request, s *server, offer selector.Offer) {
+	if !r.found {
+		r.offers++
+	}
+	sim.recordOverdue(now, s)
 	estimatorRequest := estimator.Request{Repeatable: r.repeatable(), Trial: offer.Trial, Forced: offer.Forced}
 	switch {
 	case r.ended:
 		return
+	case sim.isCut(now, r.ingress, s.host):
+		// The offer gets no answer, and is hedged.
+		sim.Schedule(now+hedgeDelay, func(now flow.Time) {
+			r.ingress.selector.MarkUnreachable(now, s.entry.ID)
+			r.ingress.reports.NoteUnreachable(s.entry.ID)
+			sim.offerToNext(now, r)
+		})
+		return
 	case !sim.reachable(now, s):
 		r.ingress.selector.MarkAbsent(now, s.entry.ID)
 		sim.offerToNext(now, r)
@@ -206,7 +225,5 @@
 // reportLoad passes the load of a server to the ingress of a request, as in the daemon's
 // responses.
 func (sim *simulation) reportLoad(now flow.Time, r *request, s *server) {
-	r.ingress.selector.UpdateLoad(now, s.entry.ID, flow.ServerLoad{
-		FreeSlots: s.queue.FreeSlots(), QueueWait: s.queue.ExpectedWait(), GrayProbability: sim.grayProbability(now, s),
-	})
+	r.ingress.selector.UpdateLoad(now, s.entry.ID, sim.loadOf(now, s))
 }
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -21,18 +21,25 @@
 	outcomeOverRate         // its customer exceeded its rate
 )
 
+// fewOffers is the number of offers with which most requests should find their server.
+const fewOffers = 2
+
 // Counts holds the number of requests of a kind or a customer by outcome. Owed counts the
 // requests that should get a response: all except those over the rate and those that their
 // callers abandoned.
 type Counts struct {
-	Name     string `json:"name"`
-	Owed     int    `json:"owed"`
-	InTime   int    `json:"in-time"` // answered within the target
-	Late     int    `json:"late"`    // answered later
-	Refused  int    `json:"refused"`
-	Failed   int    `json:"failed"`
-	Left     int    `json:"left"`
-	OverRate int    `json:"over-rate"`
+	Name      string `json:"name"`
+	Owed      int    `json:"owed"`
+	InTime    int    `json:"in-time"` // answered within the target
+	Late      int    `json:"late"`    // answered later
+	Refused   int    `json:"refused"`
+	Failed    int    `json:"failed"`
+	Left      int    `json:"left"`
+	OverRate  int    `json:"over-rate"`
+	Found     int    `json:"found"`      // requests that a server granted a slot
+	FewOffers int    `json:"few-offers"` // of them: with two offers or fewer
+	SlowStart int    `json:"slow-start"` // of them: after more than a quarter of the target
+	Offers    int    `json:"offers"`     // made until then, or until the end of the request
 
 	earned float64
 	worth  float64
@@ -44,6 +51,9 @@
 // Served returns the share of the owed requests that were answered, from 0 to 1.
 func (c *Counts) Served() float64 { return float64(c.InTime+c.Late) / float64(max(c.Owed, 1)) }
 
+// ofFound returns a number as a share of the requests that found a server.
+func (c *Counts) ofFound(number int) float64 { return float64(number) / float64(max(c.Found, 1)) }
+
 // Result is the result of one simulation.
 type Result struct {
 	Policy    string    `json:"policy"`
@@ -114,6 +124,16 @@
 	case outcomeFailed:
 		c.Failed++
 	}
+	c.Offers += r.offers
+	if r.found {
+		c.Found++
+		if r.offers <= fewOffers {
+			c.FewOffers++
+		}
+		if r.searched > r.kind.Target.AsDuration()/4 {
+			c.SlowStart++
+		}
+	}
 	c.Owed++
 	c.worth += r.kind.Worth
 }
@@ -127,13 +147,14 @@
 // returns the error of out.
 func WriteTable(out io.Writer, results []*Result) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprint(table, "policy\tseed\tworth\tserved\tlate\trefused\tfailed\tworst customer")
+	fmt.Fprint(table, "policy\tseed\tworth\tserved\tlate\trefused\tfailed\tworst customer\tfew offers\tslow start\toffers")
 	for _, kind := range results[0].Kinds {
 		fmt.Fprintf(table, "\t%s", kind.Name)
 	}
 	fmt.Fprintln(table)
 	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\t%.3f", r.Policy, r.Seed, r.All.Earned(), r.All.Served(), r.All.Late, r.All.Refused, r.All.Failed, Worst(r.Customers))
+		fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f", r.Policy, r.Seed, r.All.Earned(), r.All.Served(), r.All.Late, r.All.Refused, r.All.Failed, Worst(r.Customers),
+			r.All.ofFound(r.All.FewOffers), r.All.ofFound(r.All.SlowStart), float64(r.All.Offers)/float64(max(r.All.Owed, 1)))
 		for _, kind := range r.Kinds {
 			fmt.Fprintf(table, "\t%.3f", kind.Served())
 		}
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
@@ -55,6 +56,8 @@
 	servers       []*server
 	rates         *ratelimiter.Buckets // token buckets of the customers' rates, which a fleet keeps at their owners
 	retries       *ratelimiter.Buckets // shared retry budgets of the services
+	reportRandom  *rand.Rand           // for the times of load reports, so that the rest does not depend on them
+	clock         *flow.ManualClock    // of the load reports
 	lastID        uint64
 	counters      *counters
 	recorder      *recorder
@@ -62,8 +65,12 @@
 
 // ingress is the part of a daemon that sends requests to backend servers.
 type ingress struct {
+	number    int
 	zone      string
 	selector  *selector.Selector
+	reports   *disseminator.Exchange // nil for none
+	own       *server
+	hub       int // index in its zone of the daemon that it exchanges reports with
 	budgets   map[string]*retrier.Budget
 	awayUntil flow.Time // its daemon is unreachable until then
 }
@@ -75,6 +82,7 @@
 	host             *ingress // of the daemon beside it
 	queue            Queue
 	breaker          *estimator.Breaker
+	overdue          map[uint64]bool
 	queued           map[uint64]queuedRequest // by request ID
 	gray             bool
 	advanceScheduled bool // advancing the queue is scheduled
@@ -96,6 +104,7 @@
 		workRandom:    rand.New(rand.NewPCG(seed, 1)),
 		grayRandom:    rand.New(rand.NewPCG(seed, 2)),
 		arrivalRandom: map[*RequestKind]*rand.Rand{},
+		reportRandom:  rand.New(rand.NewPCG(seed, 1000)),
 		rates:         ratelimiter.NewBuckets(),
 		retries:       ratelimiter.NewBuckets(),
 		counters:      newCounters(pattern),
@@ -114,6 +123,7 @@
 		sim.scheduleTrouble(&pattern.Troubles[i])
 	}
 	sim.sampleServers(0)
+	sim.startReports()
 	end := flow.Time(0).Add(pattern.Duration.AsDuration() + drainTime)
 	err := sim.RunUntil(ctx, end, func() bool { return false })
 	result := sim.counters.result(policy.Name, seed)
@@ -137,9 +147,11 @@
 			host:      host,
 			queue:     sim.policy.newQueue(service.Slots),
 			breaker:   estimator.NewBreaker(0),
+			overdue:   map[uint64]bool{},
 			queued:    map[uint64]queuedRequest{},
 			coldUntil: flow.Never,
 		}
+		host.own = s
 		sim.ingresses, sim.servers = append(sim.ingresses, host), append(sim.servers, s)
 		if service.GrayShare > 0 {
 			sim.scheduleGrayTurn(flow.Time(sim.grayRandom.Int64N(service.GrayInterval.AsDuration().Milliseconds())), s)
--- a/pkg/flow/load.go
+++ b/pkg/flow/load.go
@@ -18,4 +18,6 @@
 	// server; 0 means any. See package scheduler.
 	AdmitRank int           `msgpack:"a,omitempty"`
 	DrainTime time.Duration `msgpack:"d,omitempty"` // until work that is refused now could be admitted
+	// TrialIn is the time until a suspected server takes a trial request; 0 if it takes one now.
+	TrialIn time.Duration `msgpack:"t,omitempty"`
 }
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -22,6 +22,8 @@
 	FirstStart  string        // "true" if the whole deployment starts for the first time
 	StopGrace   time.Duration // time from the signal to stop until the process must have ended
 
+	LoadReports string // "true" if daemons tell each other the load of their backend servers
+
 	Memory   ByteSize
 	LogLines int // maximum log lines per second
 }
@@ -125,6 +127,11 @@
 		Help:   "Whether the whole deployment starts for the first time. The daemon then waits until hosts are listed before it reads the platform.",
 		target: func(s *Settings) any { return &s.Sidecar.FirstStart },
 	},
+	{
+		Name: "load-reports", Type: SettingChoice, Default: "true", Choices: []string{"true", "false"},
+		Help:   "Whether daemons tell each other the load of their backend servers, beyond the answers to offers.",
+		target: func(s *Settings) any { return &s.Sidecar.LoadReports },
+	},
 	{
 		Name: "stop-grace", Type: SettingDuration, Default: "6s", Min: "1s", Max: "1h",
 		Help:   "Time from the signal to stop until the process must have ended.",
