Load reports are exchanged between zones, and sent at once when urgent

While the store is out of order the reports go with the fetches that daemons send each other in turn.

--- a/internal/connection/messenger/envelope.go
+++ b/internal/connection/messenger/envelope.go
@@ -26,6 +26,7 @@
 	CallBegin                     // starts a request with an idempotency key
 	CallEnd                       // ends a request with an idempotency key
 	CallResolve                   // asks whether a forwarded request was started
+	CallExchange                  // exchanges load reports of backend servers
 )
 
 var callNames = map[Call]string{
@@ -38,6 +39,7 @@
 	CallBegin:     "begin",
 	CallEnd:       "end",
 	CallResolve:   "resolve",
+	CallExchange:  "exchange",
 }
 
 // String returns the call's name in kebab case, or call-N for an unknown call.
--- a/internal/process/disseminator/disseminator_test.go
+++ b/internal/process/disseminator/disseminator_test.go
@@ -87,6 +87,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			table := disseminator.New(0)
+			table.Merge(0, report("a", 100, 0, healthy), tc.origin)
 			table.Merge(0, report("a", 500, 0, healthy), tc.origin)
 			for now := flow.Time(100); now <= tc.until; now += 100 {
 				if tc.pauseAt >= 0 && now > tc.pauseAt && now < tc.pauseAt+2000 {
--- a/internal/process/disseminator/exchange.go
+++ b/internal/process/disseminator/exchange.go
@@ -47,6 +47,7 @@
 	news    chan struct{}     // closed and replaced at urgent changes
 	heardAt flow.Time         // newest exchange with another daemon of the zone
 	stale   bool
+	unsent  bool // something urgent was learned here, and no request has carried it
 }
 
 // NewExchange returns an Exchange with an empty table.
@@ -74,6 +75,7 @@
 	x.advance(now)
 	own := x.mergeOwn(now, server, load)
 	c := x.cursors[peer]
+	x.unsent = false
 	reports, version := x.table.Changes(now, c.sent, AudienceSource, maxReports)
 	if own != nil {
 		kept := reports[:0]
@@ -94,10 +96,17 @@
 		return nil
 	}
 	own := Report{Server: KeyOf(server), Own: true, HasLoad: true, Sequence: x.FirstSequence + uint64(now), Load: load}
-	x.merge(now, []Report{own}, OriginSelf)
+	x.mergeSelf(now, own)
 	return &own
 }
 
+// mergeSelf takes what this daemon itself learned. The caller must hold the lock.
+func (x *Exchange) mergeSelf(now flow.Time, r Report) {
+	urgent := x.table.Urgent()
+	x.merge(now, []Report{r}, OriginSelf)
+	x.unsent = x.unsent || x.table.Urgent() != urgent
+}
+
 // merge takes reports into the table, and wakes those who wait for urgent changes. The
 // caller must hold the lock.
 func (x *Exchange) merge(now flow.Time, reports []Report, origin Origin) {
@@ -216,10 +225,11 @@
 }
 
 // Advance lets time pass. It logs when the table becomes stale and when it is current
-// again; others says whether there are other daemons in the zone.
-func (x *Exchange) Advance(others bool) {
+// again; others says whether there are other daemons in the zone. It reports whether something
+// urgent was learned here that no request has carried yet.
+func (x *Exchange) Advance(others bool) (unsent bool) {
 	if x == nil {
-		return
+		return false
 	}
 	server, load := x.Own()
 	x.mu.Lock()
@@ -238,6 +248,7 @@
 		x.Log.Info("load reports are current again", "servers", len(x.table.entries))
 	}
 	x.stale = stale
+	return x.unsent
 }
 
 // NoteUnreachable records that this daemon could not reach the daemon beside a server.
@@ -247,7 +258,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.merge(x.Clock.Now(), []Report{{Server: KeyOf(server), Unreached: true}}, OriginSelf)
+	x.mergeSelf(x.Clock.Now(), Report{Server: KeyOf(server), Unreached: true})
 }
 
 // View is what the table says at one moment.
--- a/internal/process/disseminator/table.go
+++ b/internal/process/disseminator/table.go
@@ -23,6 +23,9 @@
 	// as silent. A daemon reports at least every 400 ms, or 600 ms while it changes the
 	// daemon that it reports to.
 	silenceAfter = 1500 * time.Millisecond
+	// collectGap is the time between two reports of a daemon up to which it reports to this one
+	// alone. While the store is out of order, daemons ask several others in turn.
+	collectGap = time.Second
 	// pauseGap is the time between two calls of Advance from which the process counts as
 	// paused. What it did not hear meanwhile proves nothing.
 	pauseGap = 500 * time.Millisecond
@@ -97,8 +100,9 @@
 	measuredAt  flow.Time // not earlier than the load was measured; see measuredAt
 	load        flow.ServerLoad
 	silent      bool
-	remote      bool      // the server is known from other zones only
-	directAt    flow.Time // newest report from the server's own daemon
+	remote      bool          // the server is known from other zones only
+	directAt    flow.Time     // newest report from the server's own daemon
+	directGap   time.Duration // between the two newest of them
 	unreachedAt flow.Time
 	noted       bool // this daemon itself found it out of reach
 	version     uint64
@@ -153,7 +157,7 @@
 		t.entries[r.Server] = e
 	}
 	if origin == OriginServer || origin == OriginSelf && r.HasLoad {
-		e.directAt, e.remote = now, false
+		e.directGap, e.directAt, e.remote = now.Sub(e.directAt), now, false
 	}
 	if origin == OriginZone && !r.Silent {
 		e.remote = e.remote && r.HasLoad && e.hasLoad && r.Sequence <= e.sequence
@@ -289,7 +293,7 @@
 			continue
 		}
 		t.local++
-		if e.directAt == flow.Never || now.Sub(e.measuredAt) <= silenceAfter || now.Sub(max(e.directAt, t.resumedAt)) <= silenceAfter {
+		if e.directAt == flow.Never || e.directGap > collectGap || now.Sub(e.measuredAt) <= silenceAfter || now.Sub(max(e.directAt, t.resumedAt)) <= silenceAfter {
 			continue
 		}
 		e.silent = true
--- a/internal/process/follower/fleet_test.go
+++ b/internal/process/follower/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/framer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/listener"
+	"github.com/coltsfootflow/coltsfootflow/internal/process/disseminator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/follower"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/linker"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
@@ -83,6 +84,8 @@
 
 	mu        sync.Mutex
 	follower  *follower.Follower // nil while the daemon is down
+	reports   *disseminator.Exchange
+	load      flow.ServerLoad
 	startedAt time.Time
 	inForce   map[uint64]time.Time // by version: since when a configuration at least as new is in force in this run of the daemon
 	silences  []string             // log lines about hosts that did not answer
@@ -205,12 +208,16 @@
 	log := funcr.New(h.noteLine, funcr.Options{})
 	watches, calls := dialer.New(options, f.network.Host(h.ip)), dialer.New(options, f.network.Host(h.ip))
 	h.dialers = []*dialer.Dialer{watches, calls}
+	reports := disseminator.NewExchange(disseminator.Parts{
+		Clock: bubbleClock{}, Own: h.ownLoad, Table: h.random.Uint64(), FirstSequence: uint64(time.Now().UnixMilli()), Log: logr.Discard(),
+	})
 	one := follower.New(follower.Parts{
 		Host: h.ip, Zone: h.zone, PeerPort: fleetPeerPort, Platform: platform.NewStore(fleetStore, f.network.Host(h.ip), bubbleClock{}, logr.Discard()),
 		Dialer: watches, Calls: calls, Clock: bubbleClock{}, Log: log, Random: rand.New(rand.NewPCG(h.random.Uint64(), 2)), ApplyWithin: f.size.applyWithin,
-		OnChange: h.note,
+		OnChange: h.note, Reports: reports,
 	})
 	h.mu.Lock()
+	h.reports = reports
 	h.follower, h.startedAt, h.inForce = one, time.Now(), map[uint64]time.Time{}
 	h.mu.Unlock()
 	socket, err := f.network.Listen(net.JoinHostPort(h.ip, fleetPeerPort))
@@ -234,6 +241,29 @@
 	}()
 }
 
+// ownLoad returns the load of the host's backend server.
+func (h *fleetHost) ownLoad() (server string, load flow.ServerLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.entry().ID, h.load
+}
+
+// setLoad sets the load of the host's backend server.
+func (h *fleetHost) setLoad(load flow.ServerLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.load = load
+}
+
+// knowsLoad returns what the host has learned about the backend server of another.
+func (h *fleetHost) knowsLoad(other *fleetHost) (report disseminator.Report, ok bool) {
+	h.mu.Lock()
+	reports := h.reports
+	h.mu.Unlock()
+	reports.View(func(view disseminator.View) { report, ok = view.Get(other.entry().ID) })
+	return report, ok
+}
+
 // noteLine records a line of the log if it is about a host that did not answer.
 func (h *fleetHost) noteLine(_, line string) {
 	if strings.Contains(line, "peer did not answer") {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -69,6 +69,7 @@
 	turn          bool                 // this daemon reads the platform
 	rank          int                  // number of hosts that are not silent and read it before this one
 	turnChanged   chan struct{}        // closed and replaced when turn or rank changes
+	followed      string               // the peer that is asked for changes, or ""
 	reading       reading
 	readingChange chan struct{} // closed and replaced when reading changes
 
@@ -349,7 +350,7 @@
 
 // Endpoints returns the calls that this daemon serves to other daemons.
 func (f *Follower) Endpoints() map[messenger.Call]endpoint.Endpoint {
-	return map[messenger.Call]endpoint.Endpoint{messenger.CallFetch: f.handleFetch}
+	return map[messenger.Call]endpoint.Endpoint{messenger.CallFetch: f.handleFetch, messenger.CallExchange: f.handleExchange}
 }
 
 var errNothingKnown = errors.New("nothing is known yet")
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -71,6 +71,7 @@
 	next := selector.next(f.Clock.Now(), f.hosts(true), f.hosts(false), state)
 	f.setTurn(next.turn, next.rank)
 	f.logSource(next)
+	f.setFollowed(next.peer)
 	if next.peer == "" {
 		pause := time.NewTimer(next.pause)
 		defer pause.Stop()
