--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// Searched records the search of an ingress for the first server of a request: how many offers
+// it made, and how long it took until a slot was granted or the search was given up.
+func (m *Metrics) Searched(found bool, offers int, took time.Duration) {
+	result := "none"
+	if found {
+		result = "found"
+	}
+	m.observeValue(series{name: "search-offers", first: label{"result", result}}, int64(offers))
+	m.observe(series{name: "search-time-ms", first: label{"result", result}}, took)
+}
+
 // Admitted records the end of a forwarded request. The reason is empty when it
 // was answered.
 func (m *Metrics) Admitted(server string, reason flow.Reason, latency time.Duration) {
@@ -156,14 +167,16 @@
 	return counter
 }
 
-func (m *Metrics) observe(s series, latency time.Duration) {
+func (m *Metrics) observe(s series, latency time.Duration) { m.observeValue(s, latency.Milliseconds()) }
+
+func (m *Metrics) observeValue(s series, value int64) {
 	m.mu.RLock()
 	histogram, ok := m.histograms[s]
 	m.mu.RUnlock()
 	if !ok {
 		histogram = m.addHistogram(s)
 	}
-	histogram.Update(latency.Milliseconds())
+	histogram.Update(value)
 }
 
 func (m *Metrics) addHistogram(s series) metrics.Histogram {
--- a/internal/process/reporter/metrics_test.go
+++ b/internal/process/reporter/metrics_test.go
@@ -27,6 +27,8 @@
 		})
 	}
 	goroutines.Wait()
+	m.Searched(true, 2, 5*time.Millisecond)
+	m.Searched(false, 11, 700*time.Millisecond)
 	m.Served("school", "ledger", "", 200, time.Millisecond)
 	m.Served("one too many", "ledger", "", 200, time.Millisecond)
 	var text bytes.Buffer
@@ -43,6 +45,9 @@
 		`coltsfootflow_admissions_total{server="ledger-1",outcome="answered"} 200`,
 		`coltsfootflow_admissions_total{server="ledger-1",outcome="leaving"} 200`,
 		`coltsfootflow_server_latency_ms_count{server="ledger-1"} 200`,
+		`coltsfootflow_search_offers_max{result="found"} 2`,
+		`coltsfootflow_search_offers_max{result="none"} 11`,
+		`coltsfootflow_search_time_ms_max{result="none"} 700`,
 	} {
 		if !slices.Contains(lines, line) {
 			t.Errorf("missing: %s in\n%s", line, text.String())
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -82,6 +82,10 @@
 // before and the retry budget is used up.
 func (d *Dispatcher) attemptOnce(ctx context.Context, ex *exchange, tried map[string]bool) (attemptResult, bool) {
 	attempt, server := d.findSlot(ctx, ex, tried)
+	if !ex.searched {
+		ex.searched = true
+		d.Observer.Searched(attempt != nil, ex.offers, d.Clock.Now().Sub(ex.started))
+	}
 	if attempt == nil {
 		return attemptResult{}, false
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -77,6 +77,9 @@
 	// Served is called when a caller's request ends. The reason is that of a refusal,
 	// or "" for a response of a backend server.
 	Served(customer, route string, reason flow.Reason, offers int, latency time.Duration)
+	// Searched is called when the search for the first server of a request ends: a slot was
+	// granted after a number of offers and a time, or there is none.
+	Searched(found bool, offers int, took time.Duration)
 }
 
 // Parts are the dependencies and limits of a Dispatcher.
@@ -171,6 +174,7 @@
 	possibleRuns int                // number of attempts that may have run
 	isRetry      bool               // an attempt has reached a backend server, whether or not it ran
 	offers       int
+	searched     bool // the search for the first server has ended
 	lastServer   string        // id of the server of the last attempt
 	retryAfter   time.Duration // shortest queue wait that a daemon reported, or time until a token; -1 if unknown
 	response     *http.Response
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -143,6 +143,8 @@
 
 func (discardObserver) Served(string, string, flow.Reason, int, time.Duration) {}
 
+func (discardObserver) Searched(bool, int, time.Duration) {}
+
 func newFixture(t *testing.T, testServers ...*testServer) *fixture {
 	t.Helper()
 	f := &fixture{servers: testServers, allowed: true, budget: 100}
