Simulator: parallel offers and late binding beside load reports

Alternatives two-at-once and late-binding, each with and without reports. A repeatable request offers a due trial to a suspected server of any zone after the free slots: without it a full fleet found recovered servers late.

--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -161,7 +161,7 @@
 		plan = append(plan, s.queueOffers(now, sameZone)...)
 	}
 	plan = append(plan, s.slotOffers(now, usable, explores)...)
-	if !explores && query.Informed && query.Repeatable {
+	if query.Informed && query.Repeatable {
 		plan = append(plan, s.trialOffers(now, suspected, query, false)...)
 	}
 	plan = append(plan, s.queueOffers(now, usable)...)
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -174,7 +174,7 @@
 	possibleRuns int                // number of attempts that may have run
 	isRetry      bool               // an attempt has reached a backend server, whether or not it ran
 	offers       int
-	searched     bool // the search for the first server has ended
+	searched     bool          // the search for the first server has ended
 	lastServer   string        // id of the server of the last attempt
 	retryAfter   time.Duration // shortest queue wait that a daemon reported, or time until a token; -1 if unknown
 	response     *http.Response
--- a/internal/simulator/attempt.go
+++ b/internal/simulator/attempt.go
@@ -188,6 +188,7 @@
 		sim.endRequest(now, r, r.finalOutcome(o))
 		return
 	}
+	r.running = false
 	r.search, r.isRetry = &selector.Search{Repeatable: r.repeatable()}, true
 	sim.offerByNewPlan(now, r)
 }
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -35,6 +35,8 @@
 	newQueue   func(slots int) Queue
 	plan       func(s *selector.Selector, random *rand.Rand, now flow.Time, query selector.Query) []selector.Offer
 	noEjection bool // no server is ever suspected
+	atOnce     int  // number of offers for a free slot that are made at once; 0 for 1
+	waitsAt    int  // number of servers in whose queues a request waits at once; 0 for 1
 	noReports  bool // daemons learn of load from the answers to their own offers alone
 }
 
@@ -54,6 +56,10 @@
 		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: plan},
 		{Name: "no-ejection", Help: "no server is ejected, however many requests it fails", newQueue: daemonQueue, plan: plan, noEjection: true},
 		{Name: "no-reports", Help: "daemons do not tell each other the load of their servers", newQueue: daemonQueue, plan: plan, noReports: true},
+		{Name: "two-at-once", Help: "two offers for a free slot are made at once, without load reports", newQueue: daemonQueue, plan: plan, noReports: true, atOnce: 2},
+		{Name: "two-at-once-informed", Help: "the same with load reports", newQueue: daemonQueue, plan: plan, atOnce: 2},
+		{Name: "late-binding", Help: "a request waits in the queues of two servers, and the first free slot takes it, without load reports", newQueue: daemonQueue, plan: plan, noReports: true, waitsAt: 2},
+		{Name: "late-binding-informed", Help: "the same with load reports", newQueue: daemonQueue, plan: plan, waitsAt: 2},
 	}
 }
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -33,9 +33,12 @@
 	calledByRetry bool                         // it is a call that a retry makes
 	cancel        func(now flow.Time)          // removes it from the server where it waits or runs
 	ended         bool
-	found         bool          // a server has granted it a slot
-	offers        int           // until then
-	searched      time.Duration // until then
+	running       bool             // it has a slot
+	unanswered    int              // offers without an answer
+	queuedAt      map[*server]bool // where it waits
+	found         bool             // a server has granted it a slot
+	offers        int              // until then
+	searched      time.Duration    // until then
 }
 
 // startRequest starts a request of a caller.
@@ -57,7 +60,7 @@
 	sim.lastID++
 	return &request{
 		id: sim.lastID, kind: kind, ingress: from, start: now, deadline: deadline,
-		search: &selector.Search{Repeatable: selector.Repeatable(kind.Idempotent, kind.Attempts, 0)}, tried: map[string]bool{},
+		search: &selector.Search{Repeatable: selector.Repeatable(kind.Idempotent, kind.Attempts, 0)}, tried: map[string]bool{}, queuedAt: map[*server]bool{},
 	}
 }
 
@@ -151,8 +154,17 @@
 		sim.offerByNewPlan(now, r)
 		return
 	}
+	sim.sendOffer(now, r)
+	for r.unanswered < sim.policy.atOnce && len(r.plan) > 0 && !r.plan[0].MayWait {
+		sim.sendOffer(now, r)
+	}
+}
+
+// sendOffer sends the next offer of the plan.
+func (sim *simulation) sendOffer(now flow.Time, r *request) {
 	offer := r.plan[0]
 	r.plan = r.plan[1:]
+	r.unanswered++
 	s := sim.serverOf(offer.Server)
 	roundTrip := crossZoneRoundTrip
 	if s.host.zone == r.ingress.zone {
@@ -169,23 +181,23 @@
 	sim.recordOverdue(now, s)
 	estimatorRequest := estimator.Request{Repeatable: r.repeatable(), Trial: offer.Trial, Forced: offer.Forced}
 	switch {
-	case r.ended:
+	case r.ended || r.running: // the offer was withdrawn
 		return
 	case sim.isCut(now, r.ingress, s.host):
 		// The offer gets no answer, and is hedged.
 		sim.Schedule(now+hedgeDelay, func(now flow.Time) {
 			r.ingress.selector.MarkUnreachable(now, s.entry.ID)
 			r.ingress.reports.NoteUnreachable(s.entry.ID)
-			sim.offerToNext(now, r)
+			sim.offerRefused(now, r)
 		})
 		return
 	case !sim.reachable(now, s):
 		r.ingress.selector.MarkAbsent(now, s.entry.ID)
-		sim.offerToNext(now, r)
+		sim.offerRefused(now, r)
 		return
 	case !sim.policy.noEjection && !s.breaker.Admit(now, estimatorRequest):
 		sim.reportLoad(now, r, s)
-		sim.offerToNext(now, r)
+		sim.offerRefused(now, r)
 		return
 	}
 	decision := s.queue.Offer(now, scheduler.Entry{
@@ -195,20 +207,53 @@
 	})
 	switch decision {
 	case scheduler.DecisionStarted:
-		sim.startAttempt(now, r, s)
+		sim.takeSlot(now, r, s)
 	case scheduler.DecisionQueued:
-		s.queued[r.id] = queuedRequest{r, offer.Forced}
-		r.cancel = func(flow.Time) {
-			s.queue.Withdraw(r.id)
-			delete(s.queued, r.id)
+		r.unanswered--
+		s.queued[r.id], r.queuedAt[s] = queuedRequest{r, offer.Forced}, true
+		r.cancel = func(flow.Time) { r.withdraw() }
+		if len(r.queuedAt) < sim.policy.waitsAt && len(r.plan) > 0 && r.plan[0].MayWait {
+			sim.sendOffer(now, r)
 		}
 		sim.advanceQueue(now, s)
 	case scheduler.DecisionBusy, scheduler.DecisionTooLate:
 		sim.reportLoad(now, r, s)
+		sim.offerRefused(now, r)
+	}
+}
+
+// offerRefused makes the next offer, unless other offers are unanswered or the request waits.
+func (sim *simulation) offerRefused(now flow.Time, r *request) {
+	r.unanswered--
+	if r.unanswered <= 0 && len(r.queuedAt) == 0 && !r.running {
 		sim.offerToNext(now, r)
 	}
 }
 
+// leaveQueue makes the next offer if a request no longer waits anywhere.
+func (sim *simulation) leaveQueue(now flow.Time, r *request, s *server) {
+	delete(r.queuedAt, s)
+	if r.unanswered <= 0 && len(r.queuedAt) == 0 && !r.running {
+		sim.offerToNext(now, r)
+	}
+}
+
+// takeSlot runs a request that was granted a slot, and withdraws its other offers.
+func (sim *simulation) takeSlot(now flow.Time, r *request, s *server) {
+	r.withdraw()
+	r.unanswered, r.running = 0, true
+	sim.startAttempt(now, r, s)
+}
+
+// withdraw removes a request from all queues.
+func (r *request) withdraw() {
+	for s := range r.queuedAt {
+		s.queue.Withdraw(r.id)
+		delete(s.queued, r.id)
+		delete(r.queuedAt, s)
+	}
+}
+
 // redirectQueued offers the requests in the queue of a server that became suspected to
 // other servers.
 func (sim *simulation) redirectQueued(now flow.Time, s *server) {
@@ -217,7 +262,7 @@
 			s.queue.Withdraw(id)
 			delete(s.queued, id)
 			sim.reportLoad(now, queued.request, s)
-			sim.offerToNext(now, queued.request)
+			sim.leaveQueue(now, queued.request, s)
 		}
 	}
 }
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -274,14 +274,15 @@
 	for _, entry := range started {
 		if queued, ok := s.queued[entry.ID]; ok {
 			delete(s.queued, entry.ID)
-			sim.startAttempt(now, queued.request, s)
+			delete(queued.queuedAt, s)
+			sim.takeSlot(now, queued.request, s)
 		}
 	}
 	for _, entry := range tooLate {
 		if queued, ok := s.queued[entry.ID]; ok {
 			delete(s.queued, entry.ID)
 			sim.reportLoad(now, queued.request, s)
-			sim.offerToNext(now, queued.request)
+			sim.leaveQueue(now, queued.request, s)
 		}
 	}
 	if s.queue.Queued() > 0 && !s.advanceScheduled {
