--- a/cmd/standin/simulate.go
+++ b/cmd/standin/simulate.go
@@ -27,7 +27,7 @@
 	var flags simulateFlags
 	help := "\nEach FILE holds a pattern as JSON with comments; the folder experiments/patterns has some.\n" +
 		"The columns are shares of the requests that were neither over a rate nor abandoned by their callers.\n\nPolicies:\n"
-	for _, policy := range simulator.Policies() {
+	for _, policy := range append(simulator.Policies(), simulator.Searches()...) {
 		help += fmt.Sprintf("  %-18s %s\n", policy.Name, policy.Help)
 	}
 	return commander.Command{
@@ -48,7 +48,7 @@
 }
 
 func simulate(ctx context.Context, streams commander.Streams, files []string, flags simulateFlags) error {
-	policies := slices.DeleteFunc(simulator.Policies(), func(p simulator.Policy) bool { return flags.policy != "" && p.Name != flags.policy })
+	policies := slices.DeleteFunc(append(simulator.Policies(), simulator.Searches()...), func(p simulator.Policy) bool { return flags.policy != "" && p.Name != flags.policy })
 	switch {
 	case len(files) == 0:
 		return commander.Usagef("no file with a pattern is named")
--- a/internal/process/disseminator/table.go
+++ b/internal/process/disseminator/table.go
@@ -23,6 +23,11 @@
 	// as silent. A daemon reports at least every 400 ms, or 600 ms while it changes the
 	// daemon that it reports to.
 	silenceAfter = 1500 * time.Millisecond
+	// hintStep is how much newer a hint must be than the known one. A hint that comes back from
+	// another daemon seems newer by its time on the way.
+	hintStep = 100 * time.Millisecond
+	// silenceInterval is the time between two looks for silent servers.
+	silenceInterval = 100 * time.Millisecond
 	// collectGap is the time between two reports of a daemon up to which it reports to this one
 	// alone. While the store is out of order, daemons ask several others in turn.
 	collectGap = time.Second
@@ -123,6 +128,7 @@
 	tokens     float64 // reports that may be passed on to each reader
 	advancedAt flow.Time
 	resumedAt  flow.Time // from here on the daemon has listened without a pause
+	checkedAt  flow.Time // for silent servers
 	sweptAt    flow.Time
 	local      int // servers of the same zone that are not silent
 }
@@ -131,7 +137,7 @@
 func New(now flow.Time) *Table {
 	return &Table{
 		entries: map[Key]*entry{}, order: list.New(), pending: list.New(), readers: map[string]flow.Time{},
-		advancedAt: now, resumedAt: now, sweptAt: now,
+		advancedAt: now, resumedAt: now, checkedAt: now, sweptAt: now,
 	}
 }
 
@@ -163,9 +169,13 @@
 		e.remote = e.remote && r.HasLoad && e.hasLoad && r.Sequence <= e.sequence
 	}
 	urgent := t.mergeLoad(now, e, r)
-	if at := now.Add(-r.UnreachedAge); r.Unreached && origin != OriginRemote && at.After(e.unreachedAt) {
-		// A hint is passed on again only once it has become old.
-		urgent = urgent || at.Sub(e.unreachedAt) > silenceAfter
+	if at := now.Add(-r.UnreachedAge); r.Unreached && origin != OriginRemote && at.Sub(e.unreachedAt) > hintStep {
+		// A hint is passed on again only once it has become old, and with the next answers:
+		// during a partition there are many.
+		if at.Sub(e.unreachedAt) > silenceAfter && !urgent {
+			t.tokens--
+			t.passOn(now, e)
+		}
 		e.unreachedAt, e.noted = at, origin == OriginSelf
 	}
 	switch {
@@ -278,7 +288,10 @@
 			t.passOn(now, e)
 		}
 	}
-	t.findSilent(now)
+	if now.Sub(t.checkedAt) >= silenceInterval {
+		t.checkedAt = now
+		t.findSilent(now)
+	}
 	if now.Sub(t.sweptAt) >= time.Second {
 		t.sweptAt = now
 		t.sweep(now)
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -45,24 +45,32 @@
 
 // Policies returns the daemon's policy, followed by the alternatives to it.
 func Policies() []Policy {
-	daemonQueue := func(slots int) Queue { return scheduler.New(slots) }
-	plan := func(s *selector.Selector, _ *rand.Rand, now flow.Time, query selector.Query) []selector.Offer {
-		return s.Plan(now, query)
+	return []Policy{
+		{Name: DaemonPolicy, Help: "the decisions of the daemon", newQueue: newDaemonQueue, plan: planAsDaemon},
+		{Name: "random-choice", Help: "random servers, in whose queues requests wait", newQueue: newDaemonQueue, plan: planAtRandom},
+		{Name: "first-come", Help: "a fixed queue, first come first served", newQueue: newFixedQueue, plan: planAsDaemon},
+		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: planAsDaemon},
+		{Name: "no-ejection", Help: "no server is ejected, however many requests it fails", newQueue: newDaemonQueue, plan: planAsDaemon, noEjection: true},
+		{Name: "no-reports", Help: "daemons do not tell each other the load of their servers", newQueue: newDaemonQueue, plan: planAsDaemon, noReports: true},
 	}
+}
+
+// Searches returns alternatives to the search for a server with a free slot.
+func Searches() []Policy {
 	return []Policy{
-		{Name: DaemonPolicy, Help: "the decisions of the daemon", newQueue: daemonQueue, plan: plan},
-		{Name: "random-choice", Help: "random servers, in whose queues requests wait", newQueue: daemonQueue, plan: planAtRandom},
-		{Name: "first-come", Help: "a fixed queue, first come first served", newQueue: newFixedQueue, plan: plan},
-		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: plan},
-		{Name: "no-ejection", Help: "no server is ejected, however many requests it fails", newQueue: daemonQueue, plan: plan, noEjection: true},
-		{Name: "no-reports", Help: "daemons do not tell each other the load of their servers", newQueue: daemonQueue, plan: plan, noReports: true},
-		{Name: "two-at-once", Help: "two offers for a free slot are made at once, without load reports", newQueue: daemonQueue, plan: plan, noReports: true, atOnce: 2},
-		{Name: "two-at-once-informed", Help: "the same with load reports", newQueue: daemonQueue, plan: plan, atOnce: 2},
-		{Name: "late-binding", Help: "a request waits in the queues of two servers, and the first free slot takes it, without load reports", newQueue: daemonQueue, plan: plan, noReports: true, waitsAt: 2},
-		{Name: "late-binding-informed", Help: "the same with load reports", newQueue: daemonQueue, plan: plan, waitsAt: 2},
+		{Name: "two-at-once", Help: "two offers for a free slot are made at once, without load reports", newQueue: newDaemonQueue, plan: planAsDaemon, noReports: true, atOnce: 2},
+		{Name: "two-at-once-informed", Help: "the same with load reports", newQueue: newDaemonQueue, plan: planAsDaemon, atOnce: 2},
+		{Name: "late-binding", Help: "a request waits in the queues of two servers, and the first free slot takes it, without load reports", newQueue: newDaemonQueue, plan: planAsDaemon, noReports: true, waitsAt: 2},
+		{Name: "late-binding-informed", Help: "the same with load reports", newQueue: newDaemonQueue, plan: planAsDaemon, waitsAt: 2},
 	}
 }
 
+func newDaemonQueue(slots int) Queue { return scheduler.New(slots) }
+
+func planAsDaemon(s *selector.Selector, _ *rand.Rand, now flow.Time, query selector.Query) []selector.Offer {
+	return s.Plan(now, query)
+}
+
 // maxRandomOffers is the maximum number of offers of a random plan.
 const maxRandomOffers = 2
 
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -21,6 +21,7 @@
 // total is the number of requests of a pattern by outcome over all seeds.
 type total struct {
 	owed, inTime, late, refused, failed int
+	found, fewOffers, slowStart, offers int
 	bounds                              simulator.Bounds // worst of all seeds
 }
 
@@ -38,6 +39,10 @@
 		sum.late += all.Late
 		sum.refused += all.Refused
 		sum.failed += all.Failed
+		sum.found += all.Found
+		sum.fewOffers += all.FewOffers
+		sum.slowStart += all.SlowStart
+		sum.offers += all.Offers
 		sum.bounds.Retries = max(sum.bounds.Retries, result.Bounds.Retries)
 		sum.bounds.Cold = max(sum.bounds.Cold, result.Bounds.Cold)
 		sum.bounds.Floor = min(sum.bounds.Floor, result.Bounds.Floor)
@@ -54,7 +59,7 @@
 
 func findPolicy(t *testing.T, name string) simulator.Policy {
 	t.Helper()
-	for _, p := range simulator.Policies() {
+	for _, p := range append(simulator.Policies(), simulator.Searches()...) {
 		if p.Name == name {
 			return p
 		}
@@ -95,6 +100,37 @@
 	}
 }
 
+// TestRequestsFindServerWithFewOffers guards against ingresses that probe servers which others
+// know to be suspected, hung, full or out of reach, in a fleet whose ingresses send few
+// requests each. The daemon must need fewer offers than every alternative to its search, and
+// serve as many requests in time.
+func TestRequestsFindServerWithFewOffers(t *testing.T) {
+	cases := map[string]float64{ // share of the requests that need two offers or fewer
+		"seventy-quiet":        0.97,
+		"seventy-out-of-reach": 0.94,
+		"seventy-hung":         0.90,
+		"seventy-suspected":    0.85,
+	}
+	for name, few := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			pattern := readPattern(t, name)
+			own := runPattern(t, pattern, findPolicy(t, simulator.DaemonPolicy))
+			share := float64(own.fewOffers) / float64(own.found)
+			t.Logf("two offers or fewer %.3f, after a quarter of the target %.4f, offers a request %.2f", share, own.share(own.slowStart), own.share(own.offers))
+			is.True(share >= few)
+			is.True(own.share(own.slowStart) <= 0.005)
+			for _, alternative := range []string{"no-reports", "two-at-once", "late-binding"} {
+				theirs := runPattern(t, pattern, findPolicy(t, alternative))
+				t.Logf("%s: in time %.3f and %.3f, offers %.2f", alternative, own.share(own.inTime), theirs.share(theirs.inTime), theirs.share(theirs.offers))
+				is.True(own.offers < theirs.offers)
+				is.True(own.share(own.inTime) >= theirs.share(theirs.inTime)-noise)
+			}
+		})
+	}
+}
+
 // TestGrayServersCostLittle compares a low load with and without gray servers. The aim
 // of the deployments is that gray servers cost less than 3% of the requests.
 func TestGrayServersCostLittle(t *testing.T) {
