Only what matters elsewhere crosses zones

The requests of the exchange between zones carried every change of the own zone, free slots included. Each entry now keeps what other zones were told last, and goes there only when it becomes suspected, full or silent, or ceases to be.

--- a/internal/process/disseminator/exchange.go
+++ b/internal/process/disseminator/exchange.go
@@ -63,8 +63,8 @@
 }
 
 // NewRequest returns the reports to send to a peer: that of the own server, and what was
-// learned here since the last answer of the peer.
-func (x *Exchange) NewRequest(peer string) Request {
+// learned here since the last answer of the peer, or what matters in its zone.
+func (x *Exchange) NewRequest(peer string, sameZone bool) Request {
 	if x == nil {
 		return Request{}
 	}
@@ -75,8 +75,11 @@
 	x.advance(now)
 	own := x.mergeOwn(now, server, load)
 	c := x.cursors[peer]
-	x.unsent = false
-	reports, version := x.table.Changes(now, c.sent, AudienceSource, maxReports)
+	audience := AudienceRemote
+	if sameZone {
+		audience, x.unsent = AudienceSource, false
+	}
+	reports, version := x.table.Changes(now, c.sent, audience, maxReports)
 	if own != nil {
 		kept := reports[:0]
 		for _, r := range reports {
--- a/internal/process/disseminator/table.go
+++ b/internal/process/disseminator/table.go
@@ -111,10 +111,12 @@
 	unreachedAt flow.Time
 	noted       bool // this daemon itself found it out of reach
 	version     uint64
-	told        flow.ServerLoad // what was passed on last
-	toldAt      flow.Time
+	told        told // what was passed on last
 	pending     bool // waits to be passed on
 	element     *list.Element
+
+	remoteVersion uint64 // version at which it last mattered to other zones
+	toldRemote    told   // what was passed on to them last
 }
 
 // Table holds the newest report of each server.
@@ -158,8 +160,10 @@
 		if len(t.entries) >= maxEntries {
 			return
 		}
-		e = &entry{key: r.Server, remote: origin == OriginRemote, directAt: flow.Never, unreachedAt: flow.Never, measuredAt: flow.Never, toldAt: flow.Never}
-		e.told.FreeSlots = 1 // a server of which nothing was passed on counts as usable
+		e = &entry{key: r.Server, remote: origin == OriginRemote, directAt: flow.Never, unreachedAt: flow.Never, measuredAt: flow.Never}
+		// A server of which nothing was passed on counts as usable.
+		e.told = told{load: flow.ServerLoad{FreeSlots: 1, GrayProbability: estimator.Prior}, at: flow.Never}
+		e.toldRemote = e.told
 		t.entries[r.Server] = e
 	}
 	if origin == OriginServer || origin == OriginSelf && r.HasLoad {
@@ -226,38 +230,50 @@
 	return estimator.DecayToPrior(load.GrayProbability, age) > estimator.SuspectThreshold
 }
 
-// significant reports whether the load of a server is worth passing on: its receivers would
-// otherwise expect something else.
-func (t *Table) significant(now flow.Time, e *entry) bool {
-	if !e.hasLoad {
-		return false
-	}
-	full, toldFull := e.load.FreeSlots <= 0, e.told.FreeSlots <= 0
-	if full != toldFull {
-		return true
-	}
-	gray := estimator.DecayToPrior(e.told.GrayProbability, now.Sub(e.toldAt))
-	if e.suspected(now) && math.Abs(gray-e.load.GrayProbability) > significantGray {
+// told is what was passed on of a server, and when.
+type told struct {
+	load   flow.ServerLoad
+	silent bool
+	at     flow.Time
+}
+
+// differs reports whether receivers of what was told expect something else of a server than
+// they should: whether it is silent, suspected or full, or how much so.
+func (e *entry) differs(now flow.Time, t told) bool {
+	full, toldFull := e.load.FreeSlots <= 0, t.load.FreeSlots <= 0
+	isSuspected, toldSuspected := e.suspected(now), suspected(t.load, now.Sub(t.at))
+	if e.silent != t.silent || full != toldFull || isSuspected != toldSuspected {
 		return true
 	}
-	wait := e.load.QueueWait - e.told.QueueWait
-	if full && max(wait, -wait) > max(significantWait, e.told.QueueWait/2) {
+	gray := estimator.DecayToPrior(t.load.GrayProbability, now.Sub(t.at))
+	if isSuspected && (math.Abs(gray-e.load.GrayProbability) > significantGray || (e.load.TrialIn > 0) != (t.load.TrialIn > 0)) {
 		return true
 	}
-	if e.suspected(now) && (e.load.TrialIn > 0) != (e.told.TrialIn > 0) {
+	wait := e.load.QueueWait - t.load.QueueWait
+	return full && max(wait, -wait) > max(significantWait, t.load.QueueWait/2)
+}
+
+// significant reports whether the load of a server is worth passing on.
+func (t *Table) significant(now flow.Time, e *entry) bool {
+	switch {
+	case !e.hasLoad:
+		return false
+	case e.differs(now, e.told):
 		return true
-	}
-	if e.remote {
+	case e.remote:
 		return false // of other zones only what differs from a usable server matters
 	}
-	free := e.load.FreeSlots - e.told.FreeSlots
-	return max(free, -free) > 1 || e.load.AdmitRank != e.told.AdmitRank || now.Sub(e.toldAt) >= refreshInterval
+	free := e.load.FreeSlots - e.told.load.FreeSlots
+	return max(free, -free) > 1 || e.load.AdmitRank != e.told.load.AdmitRank || now.Sub(e.told.at) >= refreshInterval
 }
 
 // passOn gives an entry a new version, so that it is part of the next answers.
 func (t *Table) passOn(now flow.Time, e *entry) {
 	t.version++
-	e.version, e.told, e.toldAt = t.version, e.load, now
+	e.version, e.told = t.version, told{e.load, e.silent, now}
+	if e.hasLoad && e.differs(now, e.toldRemote) {
+		e.remoteVersion, e.toldRemote = t.version, e.told
+	}
 	if e.element == nil {
 		e.element = t.order.PushBack(e)
 		return
@@ -338,7 +354,7 @@
 // The audiences of changes.
 const (
 	AudienceZone   Audience = iota // a daemon of the same zone that asks: everything
-	AudienceRemote                 // a daemon of another zone: the servers of this zone
+	AudienceRemote                 // a daemon of another zone: what matters there of the servers of this zone
 	AudienceSource                 // the daemon that this one asks: what came from here
 )
 
@@ -357,10 +373,11 @@
 	} else {
 		first = first.Next()
 	}
+	since := after
 	var reports []Report
 	for element := first; element != nil; element = element.Next() {
 		e := element.Value.(*entry)
-		if !e.isFor(now, audience) {
+		if !e.isFor(now, since, audience) {
 			continue
 		}
 		if len(reports) == limit {
@@ -371,10 +388,10 @@
 	return reports, t.version
 }
 
-func (e *entry) isFor(now flow.Time, audience Audience) bool {
+func (e *entry) isFor(now flow.Time, after uint64, audience Audience) bool {
 	switch audience {
 	case AudienceRemote:
-		return !e.remote && e.hasLoad
+		return !e.remote && e.remoteVersion > after
 	case AudienceSource:
 		return now.Sub(e.directAt) <= relayWindow || e.noted && now.Sub(e.unreachedAt) <= relayWindow
 	case AudienceZone:
--- a/internal/process/follower/peers.go
+++ b/internal/process/follower/peers.go
@@ -186,7 +186,7 @@
 	if request.WaitMs > 0 || request.Large {
 		connections = f.Dialer
 	}
-	reports := f.Reports.NewRequest(peer)
+	reports := f.Reports.NewRequest(peer, f.inOwnZone(peer))
 	request.Reports = reports.Encoded
 	sentAt := f.Clock.Now()
 	err := connections.Call(ctx, peer+":"+f.PeerPort, messenger.CallFetch, request, &answer)
--- a/internal/process/follower/reports.go
+++ b/internal/process/follower/reports.go
@@ -118,18 +118,18 @@
 			}
 		}()
 		defer recoverer.Recover(f.Log, "exchange", func() { result.err = errors.New(recoverer.Cause) })
-		result.err = f.exchangeOnce(ctx, zone, peer)
+		result.err = f.exchangeOnce(ctx, peer)
 	})
 }
 
-func (f *Follower) exchangeOnce(ctx context.Context, zone, peer string) error {
+func (f *Follower) exchangeOnce(ctx context.Context, peer string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerAnswerMargin)
 	defer cancel()
-	request := f.Reports.NewRequest(peer)
+	request := f.Reports.NewRequest(peer, f.inOwnZone(peer))
 	var answer ExchangeMessage
 	err := f.Calls.Call(ctx, peer+":"+f.PeerPort, messenger.CallExchange, ExchangeMessage{Reports: request.Encoded}, &answer)
 	if err == nil {
-		f.Reports.ReceiveAnswer(peer, zone == f.Zone, request, answer.Reports)
+		f.Reports.ReceiveAnswer(peer, f.inOwnZone(peer), request, answer.Reports)
 	}
 	return err
 }
--- a/internal/simulator/reports.go
+++ b/internal/simulator/reports.go
@@ -84,7 +84,7 @@
 		sim.Schedule(now+hubRetry, func(flow.Time) { host.hub = 0 })
 		return
 	}
-	request := host.reports.NewRequest(hub.zone + hub.own.entry.ID)
+	request := host.reports.NewRequest(hub.zone+hub.own.entry.ID, true)
 	sim.Schedule(now+sameZoneRoundTrip, func(now flow.Time) {
 		sim.clock.Current = now
 		position := hub.reports.Receive(host.own.entry.ID, true, request.Encoded)
@@ -114,7 +114,7 @@
 		}
 		asked[other.zone] = true
 		peer := other.own.entry.ID
-		request := host.reports.NewRequest(peer)
+		request := host.reports.NewRequest(peer, false)
 		sim.Schedule(now+crossZoneRoundTrip, func(now flow.Time) {
 			sim.clock.Current = now
 			position := other.reports.Receive(host.own.entry.ID, false, request.Encoded)
