--- a/internal/process/selector/selector.go
+++ b/internal/process/selector/selector.go
@@ -42,6 +42,9 @@
 	// trialPeers is the number of daemons of a zone that try a suspected server at the same
 	// time, on average, while all know of the suspicion.
 	trialPeers = 8.0
+	// suspicionPeers is the number of daemons of a zone up to which a known suspicion does not
+	// count longer than one that only this daemon knows of.
+	suspicionPeers = 16.0
 	// goneBackoff is how long a server that has ended is skipped while its entry is
 	// still listed.
 	goneBackoff = 5 * time.Second
@@ -180,7 +183,7 @@
 	// it, the longer it counts, since each of them then offers the server a request.
 	knowing := 1.0
 	if query.Informed {
-		knowing = max(float64(query.Peers)/trialPeers, 1)
+		knowing = max(float64(query.Peers)/suspicionPeers, 1)
 		if estimator.DecayToPrior(state.grayProbability, now.Sub(state.reportedAt)) <= estimator.SuspectThreshold {
 			return false
 		}
--- a/internal/simulator/reports.go
+++ b/internal/simulator/reports.go
@@ -32,7 +32,6 @@
 	clock := &flow.ManualClock{}
 	sim.clock = clock
 	for i, host := range sim.ingresses {
-		host.number = i
 		host.reports = disseminator.NewExchange(disseminator.Parts{
 			Clock: clock, Table: uint64(i + 1), FirstSequence: 1 << 40, Log: logr.Discard(),
 			Own: func() (string, flow.ServerLoad) { return host.own.entry.ID, sim.loadOf(clock.Current, host.own) },
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -136,6 +136,7 @@
 		number := len(sim.servers)
 		zone := "zone-" + strconv.Itoa(number%sim.pattern.Zones)
 		host := &ingress{
+			number:    number,
 			zone:      zone,
 			selector:  selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
 			budgets:   map[string]*retrier.Budget{},
