--- a/internal/simulator/bounds.go
+++ b/internal/simulator/bounds.go
@@ -69,6 +69,7 @@
 			gray: s.gray,
 			troubled: now.Before(s.coldUntil) || now.Before(s.host.awayUntil) ||
 				sim.troubleOf(now, Slow, s) != nil || sim.troubleOf(now, Shed, s) != nil ||
+				sim.troubleOf(now, Hang, s) != nil || sim.isCutOff(now, s.host) ||
 				inFirstZone && (sim.pattern.activeTrouble(now, ZoneOut, s.service.Name) != nil || sim.pattern.activeTrouble(now, ColdReturn, s.service.Name) != nil),
 		})
 	}
@@ -86,7 +87,9 @@
 		service := &sim.pattern.Services[i]
 		for at := flow.Time(0); at < end; at += sampleInterval {
 			bounds.Retries = max(bounds.Retries, sim.recorder.retryUsage(service.Name, at))
-			bounds.Floor = min(bounds.Floor, sim.busyShareAt(service, at))
+			if !at.Add(floorWindow).After(end) { // after the end there are no requests for all servers
+				bounds.Floor = min(bounds.Floor, sim.busyShareAt(service, at))
+			}
 		}
 	}
 	for _, s := range sim.servers {
