Pages: log lines and metrics of load reports

TestEventsAreInTheTable reads package disseminator too. Metrics that only sidecars have stand in a table of their own, since TestMetricsAreOnThePage compares the other one with what the other daemon serves; TestOperatorPagesOfServingDaemon checks that the sidecar serves them.

--- a/cmd/coltsfootflow/events_test.go
+++ b/cmd/coltsfootflow/events_test.go
@@ -18,7 +18,7 @@
 
 // sidecarPackages are the folders of the packages that only the sidecar runs.
 var sidecarPackages = []string{
-	"internal/connection/transporter", "internal/connection/pipeliner", "internal/process/supervisor", "internal/process/follower", "internal/process/recoverer",
+	"internal/connection/transporter", "internal/connection/pipeliner", "internal/process/supervisor", "internal/process/follower", "internal/process/disseminator", "internal/process/recoverer",
 	"internal/process/logger", "internal/request/dispatcher", "internal/request/executor", "platform",
 }
 
--- a/cmd/coltsfootflow/pages_test.go
+++ b/cmd/coltsfootflow/pages_test.go
@@ -89,7 +89,7 @@
 func TestMetricsPage(t *testing.T) {
 	var page strings.Builder
 	page.WriteString(metricsHead)
-	for _, row := range reporter.MetricRows() {
+	for _, row := range slices.Concat(reporter.MetricRows(), reporter.SidecarMetricRows()) {
 		labels := row.Labels
 		if labels == "" {
 			labels = "none"
--- a/internal/process/reporter/table.go
+++ b/internal/process/reporter/table.go
@@ -22,12 +22,6 @@
 	{"coltsfootflow_route_latency_ms", "route, quantile", "The same by route. Route `others` stands for routes beyond the first 500."},
 	{"coltsfootflow_route_latency_ms_count", "route", "The same by route."},
 	{"coltsfootflow_route_latency_ms_max", "route", "The same by route."},
-	{"coltsfootflow_search_offers", "result, quantile", "Sidecars only: offers that the search for the first server of a request took. Result `found` if a server granted a slot, else `none`."},
-	{"coltsfootflow_search_offers_count", "result", "Requests for which a first server was searched."},
-	{"coltsfootflow_search_offers_max", "result", "Maximum of the sampled values."},
-	{"coltsfootflow_search_time_ms", "result, quantile", "Sidecars only: time from the arrival of a request until the search for its first server ended, in milliseconds."},
-	{"coltsfootflow_search_time_ms_count", "result", "Requests for which a first server was searched."},
-	{"coltsfootflow_search_time_ms_max", "result", "Maximum of the sampled values, in milliseconds."},
 	{"coltsfootflow_admissions_total", "server, outcome", "Forwarded requests for this host's backend servers, by outcome: `answered`, or the reason why this daemon refused them."},
 	{"coltsfootflow_server_latency_ms", "server, quantile", "Time from sending a request to the backend server until the complete answer was read, or only its header when the answer is streamed, in milliseconds."},
 	{"coltsfootflow_server_latency_ms_count", "server", "Requests that the backend server answered."},
@@ -43,3 +37,15 @@
 	{"coltsfootflow_record_faults", "", "Records whose latest version is not applied because it cannot be parsed."},
 	{"coltsfootflow_buckets_owned", "", "Shares of customers' rates that this daemon owns and that are in use."},
 }
+
+// SidecarMetricRows returns the metrics that only sidecars have.
+func SidecarMetricRows() []MetricRow { return sidecarMetricRows }
+
+var sidecarMetricRows = []MetricRow{
+	{"coltsfootflow_search_offers", "result, quantile", "Sidecars: offers that the search for the first server of a request took. Result `found` if a server granted a slot, else `none`."},
+	{"coltsfootflow_search_offers_count", "result", "Requests for which a first server was searched."},
+	{"coltsfootflow_search_offers_max", "result", "Maximum of the sampled values."},
+	{"coltsfootflow_search_time_ms", "result, quantile", "Sidecars: time from the arrival of a request until the search for its first server ended, in milliseconds."},
+	{"coltsfootflow_search_time_ms_count", "result", "Requests for which a first server was searched."},
+	{"coltsfootflow_search_time_ms_max", "result", "Maximum of the sampled values, in milliseconds."},
+}
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -119,7 +119,7 @@
 	is.Equal(status.Hosts, 2)
 	is.True(status.AgeMs < 5000)
 	metrics := get("/metrics")
-	for _, name := range []string{"requests", "request-latency-ms", "route-latency-ms", "admissions", "server-latency-ms"} {
+	for _, name := range []string{"requests", "request-latency-ms", "route-latency-ms", "admissions", "server-latency-ms", "search-offers", "search-time-ms"} {
 		is.True(strings.Contains(metrics, strings.ReplaceAll(name, "-", "_")) || strings.Contains(metrics, name))
 	}
 }
