Order requests that would miss their target behind those that can meet it

Cause: within a rank, a request went behind others only once its target had passed. One that would miss its target even if it started at once took the slot of one that could still meet it.

Change: a request counts as late when now plus the route's mean duration is after its target.

Measured: TestAdvanceOrder, case 'request that meets its target if started', was red before (10 started, want 11).

--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -360,12 +360,18 @@
 	return now.Add(least + finishMargin).After(entry.Deadline)
 }
 
+// missesTarget reports whether an entry is expected to miss its target even if it started
+// now.
+func (s *Scheduler) missesTarget(now flow.Time, entry Entry) bool {
+	return now.Add(s.MeanDuration(entry.Route)).After(entry.Target)
+}
+
 // compare is negative when a goes before b.
 func (s *Scheduler) compare(now flow.Time, a, b Entry) int {
 	if order := a.rank().compare(b.rank()); order != 0 {
 		return order
 	}
-	if lateA, lateB := now.After(a.Target), now.After(b.Target); lateA != lateB {
+	if lateA, lateB := s.missesTarget(now, a), s.missesTarget(now, b); lateA != lateB {
 		if lateB {
 			return -1
 		}
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -70,6 +70,7 @@
 		"more urgent priority before a call":       {func(e *scheduler.Entry) { e.Priority = 0 }, func(e *scheduler.Entry) { e.Call = true }, 0, 10},
 		"more urgent priority":                     {nil, func(e *scheduler.Entry) { e.Priority = 0 }, 0, 11},
 		"request that can still meet its target":   {func(e *scheduler.Entry) { e.Target = 100 }, nil, 1000, 11},
+		"request that meets its target if started": {func(e *scheduler.Entry) { e.Target = 1040 }, nil, 1000, 11},
 		"customer with fewer running requests":     {nil, func(e *scheduler.Entry) { e.Customer = "school" }, 0, 11},
 		"priority before fewer running requests":   {func(e *scheduler.Entry) { e.Priority = 0 }, func(e *scheduler.Entry) { e.Customer = "school" }, 0, 10},
 		"more urgent route":                        {func(e *scheduler.Entry) { e.Urgency = 2 }, func(e *scheduler.Entry) { e.Urgency = 1 }, 0, 11},
