Measure the simulator's floor only in windows within the arrivals

Change: a window that ends after the last arrival is not assessed. All others are, with the same bound.

--- a/internal/simulator/bounds.go
+++ b/internal/simulator/bounds.go
@@ -86,7 +86,10 @@
 		service := &sim.pattern.Services[i]
 		for at := flow.Time(0); at < end; at += sampleInterval {
 			bounds.Retries = max(bounds.Retries, sim.recorder.retryUsage(service.Name, at))
-			bounds.Floor = min(bounds.Floor, sim.busyShareAt(service, at))
+			// A window beyond the last arrival has fewer requests than servers.
+			if !at.Add(floorWindow).After(end) {
+				bounds.Floor = min(bounds.Floor, sim.busyShareAt(service, at))
+			}
 		}
 	}
 	for _, s := range sim.servers {
