Protect routes from starving; report which ranks a server would refuse

A full queue refused even the most urgent newcomer.

Scheduler.Admission returns the rank from which new requests would be refused, and the time until they would not. A newcomer takes the place of the entry that would start last of a full queue if it goes before it.

--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -6,7 +6,7 @@
 // made by running requests go first, because a slot elsewhere is held until
 // they end. Then come more urgent routes, requests that can still meet their
 // target, the customer with the fewest requests running, and the order of
-// arrival. A request that would be answered too late is refused on arrival, and
+// arrival. A route whose requests start far less often than others goes first. A request that would be answered too late is refused on arrival, and
 // one that becomes late in the queue is removed.
 //
 // A Scheduler does no input or output and reads no clock: the caller passes the
@@ -86,9 +86,13 @@
 	running       map[uint64]runningEntry
 	runningCounts map[string]int // by customer
 	queue         []Entry
+	displaced     []Entry                  // removed from the full queue, and not yet returned by Advance
 	meanDurations map[string]time.Duration // by route
 	loads         map[rank]*load           // decaying load of the entries started or queued
 
+	samples map[sampleKey]sample // of new requests
+	served  servedCounts
+
 	callReserve float64       // maximum share of the slots that is reserved for calls
 	reserved    int           // free slots that only calls may take
 	meanCall    time.Duration // smoothed mean duration of the calls
@@ -115,6 +119,8 @@
 		runningCounts: map[string]int{},
 		meanDurations: map[string]time.Duration{},
 		loads:         map[rank]*load{},
+		samples:       map[sampleKey]sample{},
+		served:        servedCounts{routes: map[string]*servedCount{}},
 		coldUntil:     flow.Never,
 		blockedUntil:  flow.Never,
 	}
@@ -140,6 +146,10 @@
 		return DecisionTooLate
 	}
 	s.updateReserved(now)
+	s.recordSample(now, entry)
+	if entry.MayWait {
+		s.served.add(now, entry, 1, 0)
+	}
 	if s.startsAtOnce(entry) && s.takeColdToken(now) {
 		s.addLoad(now, entry)
 		s.start(now, entry)
@@ -148,7 +158,7 @@
 	if !entry.MayWait {
 		return DecisionBusy
 	}
-	if s.tooLateToQueue(now, entry) || len(s.queue) >= maxQueued {
+	if s.tooLateToQueue(now, entry) || len(s.queue) >= maxQueued && !s.displaceLast(now, entry) {
 		return DecisionTooLate
 	}
 	s.addLoad(now, entry)
@@ -156,6 +166,18 @@
 	return DecisionQueued
 }
 
+// displaceLast removes the entry that would start last from the queue, unless that is the
+// given new one. It reports whether it removed one.
+func (s *Scheduler) displaceLast(now flow.Time, entry Entry) bool {
+	last := slices.MaxFunc(s.queue, func(a, b Entry) int { return s.compare(now, a, b) })
+	if !s.goesBefore(now, entry, last) {
+		return false
+	}
+	s.Withdraw(last.ID)
+	s.displaced = append(s.displaced, last)
+	return true
+}
+
 // rank holds the fields that order entries first.
 type rank struct {
 	priority int
@@ -202,6 +224,9 @@
 // remainingShare is the share of the slots that more urgent requests leave for
 // an entry, if they keep arriving at the recent rate.
 func (s *Scheduler) remainingShare(now flow.Time, entry Entry) float64 {
+	if s.served.starves(entry) {
+		return 1
+	}
 	used := 0.0
 	for r, l := range s.loads {
 		if r.compare(entry.rank()) < 0 {
@@ -214,13 +239,19 @@
 // tooLateToQueue reports whether the response to an entry would come so late
 // that the entry should not take a place in the queue.
 func (s *Scheduler) tooLateToQueue(now flow.Time, entry Entry) bool {
+	return s.lateness(now, entry) > 0
+}
+
+// lateness is the time by which the response to an entry would come too late to queue the
+// entry, or at most 0.
+func (s *Scheduler) lateness(now flow.Time, entry Entry) time.Duration {
 	wait := time.Duration(float64(s.expectedWait(now, entry)) / s.remainingShare(now, entry))
 	finish := now.Add(wait + s.MeanDuration(entry.Route) + finishMargin)
 	latest := entry.Deadline
 	if entry.Target.Before(entry.Deadline) && !entry.Call {
 		latest = entry.Target.Add(time.Duration(targetOverrunShare * float64(entry.Deadline.Sub(entry.Target))))
 	}
-	return finish.After(latest)
+	return finish.Sub(latest)
 }
 
 // expectedWait is the time that an entry would wait behind the queued entries
@@ -326,8 +357,10 @@
 }
 
 // Advance starts queued entries while slots are free. It returns those, and the
-// entries removed from the queue because they would be answered too late.
+// entries removed from the queue because they would be answered too late, or because
+// Offer queued more urgent ones in their place.
 func (s *Scheduler) Advance(now flow.Time) (started, tooLate []Entry) {
+	tooLate, s.displaced = s.displaced, nil
 	for len(s.queue) > 0 {
 		s.updateReserved(now)
 		best := -1
@@ -390,6 +423,12 @@
 
 // compare is negative when a goes before b.
 func (s *Scheduler) compare(now flow.Time, a, b Entry) int {
+	if starvesA, starvesB := s.served.starves(a), s.served.starves(b); starvesA != starvesB {
+		if starvesA {
+			return -1
+		}
+		return 1
+	}
 	if order := a.rank().compare(b.rank()); order != 0 {
 		return order
 	}
@@ -410,6 +449,10 @@
 func (s *Scheduler) start(now flow.Time, entry Entry) {
 	s.running[entry.ID] = runningEntry{entry: entry, started: now}
 	s.runningCounts[entry.Customer]++
+	if !entry.MayWait {
+		s.served.add(now, entry, 1, 0) // counted only here, since such offers find no slot at many servers
+	}
+	s.served.add(now, entry, 0, 1)
 }
 
 // Overdue returns the ids of the entries that have run for longer than a
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -386,3 +386,91 @@
 	is.True(failed <= 6) // those of the first burst, from which the servers learn
 	is.True(served > 250)
 }
+
+// TestAdmissionTellsWhatWouldBeRefused fills the queue and compares the reported level with the
+// decisions on offers. A level that is too strict would have ingresses refuse requests that the
+// server would take.
+func TestAdmissionTellsWhatWouldBeRefused(t *testing.T) {
+	is := is.New(t)
+	s := newBusyScheduler(t, 500*time.Millisecond)
+	offer := func(now flow.Time, id uint64, priority int) scheduler.Decision {
+		return s.Offer(now, entry(id, func(e *scheduler.Entry) {
+			e.Priority, e.Target, e.Deadline = priority, now+2000, now+6000
+		}))
+	}
+	level, drain := s.Admission(0)
+	is.Equal(level, 0)
+	is.Equal(drain, time.Duration(0))
+	for id := uint64(10); id < 20; id++ {
+		offer(0, id, 2)
+	}
+	is.Equal(offer(0, 20, 2), scheduler.DecisionTooLate)
+	is.Equal(offer(0, 21, 1), scheduler.DecisionQueued)
+	level, drain = s.Admission(0)
+	is.Equal(level, flow.AdmissionRank(2, 0))
+	is.True(drain > 0 && drain < 3*time.Second)
+	level, _ = s.Admission(2100) // no recent request shows what would be refused
+	is.Equal(level, 0)
+}
+
+// TestLessUrgentRouteDoesNotStarve offers twice as many urgent requests as the server can do, and
+// as many less urgent ones, which would never start by their rank.
+func TestLessUrgentRouteDoesNotStarve(t *testing.T) {
+	is := is.New(t)
+	s := scheduler.New(2)
+	offered, started := map[string]int{}, map[string]int{}
+	ends := map[uint64]flow.Time{}
+	id := uint64(0)
+	start := func(now flow.Time, e scheduler.Entry) {
+		ends[e.ID] = now + 200
+		started[e.Route]++
+	}
+	for now := flow.Time(1); now < 60_000; now += 10 {
+		for running, end := range ends {
+			if now >= end {
+				s.Finish(running, 200*time.Millisecond)
+				delete(ends, running)
+			}
+		}
+		starts, _ := s.Advance(now)
+		for _, e := range starts {
+			start(now, e)
+		}
+		for priority, route := range []string{"payment", "statement"} {
+			if now%50 == 1 { // 20 a second for a capacity of 10
+				id++
+				offered[route]++
+				e := entry(id, func(e *scheduler.Entry) {
+					e.Route, e.Priority, e.Target, e.Deadline = route, priority, now+2000, now+6000
+				})
+				if s.Offer(now, e) == scheduler.DecisionStarted {
+					start(now, e)
+				}
+			}
+		}
+	}
+	t.Logf("offered %v, started %v", offered, started)
+	all := started["payment"] + started["statement"]
+	is.True(8*started["statement"] >= all) // a quarter as often as all: half of all are offered
+	is.True(started["payment"] > 2*started["statement"])
+}
+
+// TestFullQueueRefusesTheLeastUrgent fills the queue with less urgent requests. A more urgent one
+// must not be refused in their place, and the one that would have started last is refused at once.
+func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
+	is := is.New(t)
+	s := newBusyScheduler(t, time.Millisecond)
+	id := uint64(10)
+	for s.Offer(0, entry(id, nil)) == scheduler.DecisionQueued {
+		id++
+	}
+	full := s.Queued()
+	urgent := entry(id+1, func(e *scheduler.Entry) { e.Priority = 0 })
+	is.Equal(s.Offer(0, urgent), scheduler.DecisionQueued)
+	started, tooLate := s.Advance(0)
+	is.Equal(len(started), 0)
+	is.Equal(len(tooLate), 1)
+	is.Equal(tooLate[0].ID, id-1)
+	is.Equal(s.Queued(), full)
+	is.Equal(s.Offer(0, entry(id+2, nil)), scheduler.DecisionTooLate)
+}
--- a/pkg/flow/load.go
+++ b/pkg/flow/load.go
@@ -14,8 +14,18 @@
 	Queued          int           `msgpack:"q,omitempty"` // requests that wait for a slot
 	MeanDuration    time.Duration `msgpack:"m,omitempty"` // mean duration of the running requests' routes at this server
 	Overdue         int           `msgpack:"o,omitempty"` // running requests that take much longer than their routes usually do
-	// AdmitRank is 1 plus the least urgent rank of work that would still be in time at this
-	// server; 0 means any. See package scheduler.
+	// AdmitRank is 1 plus the least urgent AdmissionRank of new requests that would still be
+	// in time at this server; 0 means any. See package scheduler.
 	AdmitRank int           `msgpack:"a,omitempty"`
 	DrainTime time.Duration `msgpack:"d,omitempty"` // until work that is refused now could be admitted
 }
+
+// maxAdmissionLevel bounds the priority and the urgency in an AdmissionRank.
+const maxAdmissionLevel = 1<<15 - 1
+
+// AdmissionRank returns the rank, at least 1, of new requests of a priority of the customer or
+// route and an urgency of the route. A higher one is less urgent.
+func AdmissionRank(priority, urgency int) int {
+	limit := func(level int) int { return min(max(level, 0), maxAdmissionLevel) }
+	return 1 + limit(priority)<<15 + limit(urgency)
+}
