Refuse requests at the ingress that every server would refuse as too late

Cause: a request of a rank that a whole service refuses made 8 to 33 offers and was refused after 0.2 to 1.2 s.

Change: package refuser decides from the reports of the last 500 ms before any offer; one request in ten is offered all the same, and so is each call of a running request. Retry-After is the shortest drain time with up to half of it more. The simulator plays it and compares it with the policy offer-always.

--- a/internal/process/reporter/metrics.go
+++ b/internal/process/reporter/metrics.go
@@ -61,6 +61,7 @@
 	}
 	m.addCounter(restoresSeries) // so that it is 0 before the first restore
 	m.addCounter(cutOffsSeries)
+	m.addCounter(earlyRefusalsSeries)
 	return m
 }
 
@@ -102,6 +103,10 @@
 	m.increment(series{"calls", label{"call", call}, label{"result", result}})
 }
 
+// RefusedEarly records that a request was refused before any offer, because every backend
+// server of its service would have refused it as too late.
+func (m *Metrics) RefusedEarly(string) { m.increment(earlyRefusalsSeries) }
+
 // StoreRestored records that the platform's store was restored from a copy.
 func (m *Metrics) StoreRestored() { m.increment(restoresSeries) }
 
@@ -111,6 +116,8 @@
 var (
 	restoresSeries = series{name: "store-restores"}
 	cutOffsSeries  = series{name: "cut-offs"}
+
+	earlyRefusalsSeries = series{name: "early-refusals"}
 )
 
 // labelValues is the set of values of a label that have metrics of their own. It
--- a/internal/process/reporter/table.go
+++ b/internal/process/reporter/table.go
@@ -33,6 +33,7 @@
 	{"coltsfootflow_calls_total", "call, result", "Calls from other daemons that this daemon served: `heartbeat`, `fetch` (configuration of the platform, between sidecars), `draw` (rate tokens), `report` (results of backend servers, for ejections), `cede` and `claim` (handover and return of ownership), `begin` and `end` (idempotency keys), `resolve` (outcome of a forwarded request). Result `failed` includes refusals, such as those of a daemon that is not the owner."},
 	{"coltsfootflow_store_restores_total", "", "Restores of the platform's store from a copy that this daemon has seen; always 0 in `coltsfootflow daemon`."},
 	{"coltsfootflow_cut_offs_total", "", "Times that the host was cut off from the platform's store and went on using servers whose entries had expired; always 0 in `coltsfootflow daemon`."},
+	{"coltsfootflow_early_refusals_total", "", "Requests of callers refused as `no-capacity` without an offer, because every backend server of their service would have refused them as too late; always 0 in `coltsfootflow daemon`."},
 	{"coltsfootflow_lease_acting", "", "1 while the daemon may serve requests, else 0."},
 	{"coltsfootflow_proof_age_ms", "", "Age of the newest proof that the configuration is current, in milliseconds; -1 without one."},
 	{"coltsfootflow_revision_applied", "", "Revision of the configuration that this daemon applies."},
--- a/internal/process/supervisor/supervisor.go
+++ b/internal/process/supervisor/supervisor.go
@@ -238,8 +238,11 @@
 		CallFailed:  s.executor.CallFailed,
 		RetryShare:  s.executor.RetryShare,
 		RetryBudget: s.localRetryOptions,
-		Log:         s.log.WithName("ingress"),
-		Random:      newRandom(2),
+
+		EarlyRefusalAge: settings.Sidecar.EarlyRefusal,
+
+		Log:    s.log.WithName("ingress"),
+		Random: newRandom(2),
 	})
 	s.callers = &pipeliner.Server{
 		Handle: s.dispatcher.Handle,
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -41,6 +41,9 @@
 // is allowed.
 func (d *Dispatcher) dispatch(ctx context.Context, ex *exchange) *flow.Refusal {
 	d.countRequest(ex)
+	if refusal := d.refuseEarly(ex); refusal != nil {
+		return refusal
+	}
 	tried := map[string]bool{}
 	var last attemptResult // result of the last attempt
 	for {
@@ -218,7 +221,9 @@
 // updateLoad records the load that a daemon reported for its server.
 func (d *Dispatcher) updateLoad(server *flow.ServerEntry, load transporter.Load) {
 	d.updateSelector(func(s *selector.Selector) {
-		s.UpdateLoad(d.Clock.Now(), server.ID, load)
+		now := d.Clock.Now()
+		s.UpdateLoad(now, server.ID, load)
+		d.refuser.Report(now, server.ID, load)
 	})
 }
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/process/recoverer"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/refuser"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/responder"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/version/cataloger"
@@ -56,6 +57,7 @@
 	stepAuthenticate = flow.Step("authenticate")
 	stepRegions      = flow.Step("check-regions")
 	stepTakeToken    = flow.Step("draw")
+	stepRefuseEarly  = flow.Step("refuse-early")
 	stepDispatch     = flow.Step("dispatch")
 )
 
@@ -78,6 +80,9 @@
 	// Served is called when a caller's request ends. The reason is that of a refusal,
 	// or "" for a response of a backend server.
 	Served(customer, route string, reason flow.Reason, offers int, latency time.Duration)
+	// RefusedEarly is called, before Served, when a request is refused without an offer
+	// because every server of its service would refuse it as too late.
+	RefusedEarly(service string)
 }
 
 // Parts are the dependencies and limits of a Dispatcher.
@@ -102,8 +107,11 @@
 	// calls too, so that this share of the server's calls counts as retries.
 	RetryShare  func() float64
 	RetryBudget func(daemons int) retrier.Options
-	Log         logr.Logger
-	Random      *rand.Rand
+	// EarlyRefusalAge is the age up to which reports of servers may show that a request
+	// would be refused by all of them. With 0 each request is offered.
+	EarlyRefusalAge time.Duration
+	Log             logr.Logger
+	Random          *rand.Rand
 }
 
 // Dispatcher handles the requests of callers. It is safe for concurrent use.
@@ -119,6 +127,7 @@
 
 	mu            sync.Mutex
 	selector      *selector.Selector
+	refuser       *refuser.Refuser
 	retryBudgets  map[string]*retrier.Budget // by service
 	maxDaemons    int                        // maximum number ever known, by which the budgets are divided
 	responseSizes map[string]float64         // moving average in bytes, by route
@@ -135,6 +144,7 @@
 		aborted:       aborted,
 		abort:         abort,
 		selector:      selector.New(parts.Random),
+		refuser:       refuser.New(parts.EarlyRefusalAge, parts.Random),
 		retryBudgets:  map[string]*retrier.Budget{},
 		responseSizes: map[string]float64{},
 	}
@@ -329,6 +339,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.selector.Sweep(d.Clock.Now(), idle)
+	d.refuser.Sweep(d.Clock.Now())
 }
 
 func (d *Dispatcher) newRefusal(reason flow.Reason, step flow.Step, detail string) *flow.Refusal {
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,13 +37,14 @@
 
 // testServer is a daemon and its backend server with the behaviour that a test sets.
 type testServer struct {
-	refuse   flow.Reason // of a refused offer; "" grants the offer
-	fail     flow.Reason // of a failed run; "" responds
-	status   int         // of the response; 0 means 200
-	truncate bool        // the response body is truncated
-	hang     bool        // the run lasts until its context ends
-	wait     bool        // the request waits for a slot until its context ends
-	gray     float64     // reported probability that the server fails most of its work
+	refuse   flow.Reason     // of a refused offer; "" grants the offer
+	fail     flow.Reason     // of a failed run; "" responds
+	status   int             // of the response; 0 means 200
+	truncate bool            // the response body is truncated
+	hang     bool            // the run lasts until its context ends
+	wait     bool            // the request waits for a slot until its context ends
+	full     flow.ServerLoad // reported rank that it admits, and time until it admits more
+	gray     float64         // reported probability that the server fails most of its work
 	delay    time.Duration
 	onAdmit  func() // called before an offer is granted; may be nil
 
@@ -74,7 +76,7 @@
 }
 
 func (s *testServer) Load(string) transporter.Load {
-	return transporter.Load{FreeSlots: 1, QueueWait: 700 * time.Millisecond, GrayProbability: s.gray}
+	return transporter.Load{FreeSlots: 1, QueueWait: 700 * time.Millisecond, GrayProbability: s.gray, AdmitRank: s.full.AdmitRank, DrainTime: s.full.DrainTime}
 }
 
 type testSlot struct{ *testServer }
@@ -146,6 +148,7 @@
 type discardObserver struct{}
 
 func (discardObserver) Served(string, string, flow.Reason, int, time.Duration) {}
+func (discardObserver) RefusedEarly(string)                                    {}
 
 func newFixture(t *testing.T, testServers ...*testServer) *fixture {
 	t.Helper()
@@ -185,7 +188,8 @@
 		RetryBudget: func(daemons int) retrier.Options {
 			return retrier.Options{Share: -1, MinPerSecond: -1, Slack: f.budget * float64(len(testServers)) / float64(daemons)}
 		},
-		Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
+		EarlyRefusalAge: 500 * time.Millisecond,
+		Log:             logr.Discard(), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	return f
 }
@@ -539,3 +543,41 @@
 		Version: 3, Routes: []flow.RouteRule{route}, Services: []flow.ServiceRule{{Name: "other"}}, Customers: []flow.CustomerRule{*catalog.Customer("shop")},
 	}, servers, nil)
 }
+
+// TestFullServiceRefusesWithoutOffers sends requests to a service whose servers report that they
+// would refuse them as too late. Only the first request and a few probes cost offers; the others
+// are refused at once, with the drain time as Retry-After. A call of a running request is always
+// offered.
+func TestFullServiceRefusesWithoutOffers(t *testing.T) {
+	is := is.New(t)
+	full := flow.ServerLoad{AdmitRank: 1, DrainTime: 3 * time.Second}
+	newFull := func() *testServer { return &testServer{refuse: flow.ReasonNoCapacity, full: full} }
+	f := newFixture(t, newFull(), newFull(), newFull())
+	offers := func() (sum int) {
+		for _, server := range f.servers {
+			server.mu.Lock()
+			sum += len(server.offers)
+			server.mu.Unlock()
+		}
+		return sum
+	}
+	status, _, _ := f.send(t, http.MethodPost, "/book/", nil)
+	is.Equal(status, http.StatusServiceUnavailable)
+	first, early := offers(), 0
+	is.True(first >= len(f.servers))
+	for range 40 {
+		before := offers()
+		status, _, header := f.send(t, http.MethodPost, "/book/", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		if offers() == before {
+			early++
+			retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(retryAfter > 2.4 && retryAfter < 4.6)
+		}
+	}
+	is.True(early >= 28)
+	before := offers()
+	f.send(t, http.MethodGet, "/call/", func(r *http.Request) { r.Header.Del(names.Key) })
+	is.True(offers() > before)
+}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -414,10 +414,14 @@
 	if server != e.server {
 		return transporter.Load{}
 	}
+	now := e.Clock.Now()
+	admitRank, drain := e.scheduler.Admission(now)
 	return transporter.Load{
 		FreeSlots:       e.scheduler.FreeSlots(),
 		QueueWait:       e.scheduler.ExpectedWait(),
-		GrayProbability: e.breaker.GrayProbability(e.Clock.Now()),
+		GrayProbability: e.breaker.GrayProbability(now),
+		AdmitRank:       admitRank,
+		DrainTime:       drain,
 	}
 }
 
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -24,6 +24,7 @@
 	ExpectedWait() time.Duration
 	Queued() int
 	RetryShare() float64
+	Admission(now flow.Time) (rank int, drain time.Duration)
 	SetCold(now, until flow.Time, perSecond float64)
 }
 
@@ -34,6 +35,9 @@
 	newQueue   func(slots int) Queue
 	plan       func(s *selector.Selector, random *rand.Rand, now flow.Time, query selector.Query) []selector.Offer
 	noEjection bool // no server is ever suspected
+	// earlyRefusalAge is the age up to which reports of servers may show that a request would
+	// be refused by all of them; 0 for no early refusals.
+	earlyRefusalAge time.Duration
 }
 
 // DaemonPolicy is the name of the policy with all decisions of the daemon.
@@ -50,7 +54,8 @@
 		return s.Plan(now, query)
 	}
 	return []Policy{
-		{Name: DaemonPolicy, Help: "the decisions of the daemon", newQueue: daemonQueue, plan: plan},
+		{Name: DaemonPolicy, Help: "the decisions of the daemon", newQueue: daemonQueue, plan: plan, earlyRefusalAge: earlyRefusalAge},
+		{Name: "offer-always", Help: "each request is offered, however full the servers are", newQueue: daemonQueue, plan: plan},
 		{Name: "random-choice", Help: "random servers, in whose queues requests wait", newQueue: daemonQueue, plan: planAtRandom},
 		{Name: "first-come", Help: "a fixed queue, first come first served", newQueue: newFixedQueue, plan: plan},
 		{Name: "no-early-refusal", Help: "queued requests are never refused because of a deadline", newQueue: newNoEarlyRefusalQueue, plan: plan},
@@ -63,6 +68,9 @@
 // deployments set it.
 const callReserve = 0.5
 
+// earlyRefusalAge is that of the deployments.
+const earlyRefusalAge = 500 * time.Millisecond
+
 // maxRandomOffers is the maximum number of offers of a random plan.
 const maxRandomOffers = 2
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -47,9 +47,23 @@
 		return
 	}
 	sim.countRequest(now, r)
+	if sim.refusedEarly(now, r) {
+		sim.endRequest(now, r, outcomeRefused)
+		return
+	}
 	sim.offerByNewPlan(now, r)
 }
 
+// refusedEarly reports whether the ingress refuses a request before any offer.
+func (sim *simulation) refusedEarly(now flow.Time, r *request) bool {
+	var servers []*flow.ServerEntry
+	for _, candidate := range sim.candidates(now, r.kind.Service, r.ingress.zone) {
+		servers = append(servers, candidate.Server)
+	}
+	_, refuse := r.ingress.refuser.Decide(now, servers, flow.AdmissionRank(r.kind.Priority, r.kind.Priority))
+	return refuse
+}
+
 func (sim *simulation) newRequest(now flow.Time, kind *RequestKind, from *ingress, deadline flow.Time) *request {
 	sim.lastID++
 	return &request{
@@ -206,7 +220,11 @@
 // reportLoad passes the load of a server to the ingress of a request, as in the daemon's
 // responses.
 func (sim *simulation) reportLoad(now flow.Time, r *request, s *server) {
-	r.ingress.selector.UpdateLoad(now, s.entry.ID, flow.ServerLoad{
+	rank, drain := s.queue.Admission(now)
+	load := flow.ServerLoad{
 		FreeSlots: s.queue.FreeSlots(), QueueWait: s.queue.ExpectedWait(), GrayProbability: sim.grayProbability(now, s),
-	})
+		AdmitRank: rank, DrainTime: drain,
+	}
+	r.ingress.selector.UpdateLoad(now, s.entry.ID, load)
+	r.ingress.refuser.Report(now, s.entry.ID, load)
 }
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/process/ratelimiter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/scheduler"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
+	"github.com/coltsfootflow/coltsfootflow/internal/request/refuser"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/retrier"
 	"github.com/coltsfootflow/coltsfootflow/internal/sequencer"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -64,6 +65,7 @@
 type ingress struct {
 	zone      string
 	selector  *selector.Selector
+	refuser   *refuser.Refuser
 	budgets   map[string]*retrier.Budget
 	awayUntil flow.Time // its daemon is unreachable until then
 }
@@ -128,6 +130,7 @@
 		host := &ingress{
 			zone:      zone,
 			selector:  selector.New(rand.New(rand.NewPCG(sim.workRandom.Uint64(), 2))),
+			refuser:   refuser.New(sim.policy.earlyRefusalAge, rand.New(rand.NewPCG(uint64(number), 4))),
 			budgets:   map[string]*retrier.Budget{},
 			awayUntil: flow.Never,
 		}
--- a/pkg/parser/sidecar_settings.go
+++ b/pkg/parser/sidecar_settings.go
@@ -25,6 +25,7 @@
 	ApplyWithin time.Duration // time within which a change must be in force on all hosts
 	// CutOffServers is CutOffLeave or CutOffUse.
 	CutOffServers string
+	EarlyRefusal  time.Duration // age of reports that may show that a service is full; 0 for none
 	CallReserve   float64       // maximum share of a server's slots that is reserved for calls
 	FirstStart    string        // "true" if the whole deployment starts for the first time
 	StopGrace     time.Duration // time from the signal to stop until the process must have ended
@@ -153,6 +154,11 @@
 		Help:   "Maximum share of the slots of the backend server that is reserved for calls of running requests. How many are reserved, if any, follows from the recent load. 0 reserves none.",
 		target: func(s *Settings) any { return &s.Sidecar.CallReserve },
 	},
+	{
+		Name: "early-refusal", Type: SettingDuration, Default: "0s", Min: "0s", Max: "2s",
+		Help:   "Age up to which the reports of backend servers may show that all servers of a service would refuse a request as too late. Such a request is refused at once. With 0s each request is offered.",
+		target: func(s *Settings) any { return &s.Sidecar.EarlyRefusal },
+	},
 	{
 		Name: "stop-grace", Type: SettingDuration, Default: "6s", Min: "1s", Max: "1h",
 		Help:   "Time from the signal to stop until the process must have ended.",
