--- a/internal/request/dispatcher/second.go
+++ b/internal/request/dispatcher/second.go
@@ -161,13 +161,29 @@
 			ends <- runEnd{run, attemptResult{refusal: refusal, mayHaveRun: true, reachedServer: true}}
 		})
 		result := d.run(runCtx, &own, server, attempt)
+		endWith(result, func() { cancel(nil) })
 		d.recordOutage(own.service, result, attempt.Load)
 		ends <- runEnd{run, result}
 	}()
-	context.AfterFunc(ctx, func() { cancel(nil) }) // a streamed response outlives the run
 	return run
 }
 
+// endWith ends the context of a run with its result, or with the response that is streamed.
+// The context of the caller's connection would keep it until the connection is closed.
+func endWith(result attemptResult, cancel func()) {
+	if result.response != nil {
+		if body, streamed := result.response.Body.(*cancelingBody); streamed {
+			endRun := body.cancel
+			body.cancel = func() {
+				endRun()
+				cancel()
+			}
+			return
+		}
+	}
+	cancel()
+}
+
 // overdueLimit returns the time after which a run is overdue, which is shorter if the server is
 // suspected. ok is false if too few runs are known or the request may run once only.
 func (d *Dispatcher) overdueLimit(ex *exchange, server *flow.ServerEntry, load transporter.Load) (limit time.Duration, ok bool) {
