--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -147,18 +147,16 @@
 	for _, server := range allowed {
 		candidates = append(candidates, selector.Candidate{Server: server, SameZone: server.Zone == d.Zone, OtherRegion: catalog.RegionOf(server.Zone) != region})
 	}
+	hasRetry := d.Allowance.HasRetry(ex.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
 	before := d.selector.Spilling(ex.service)
 	plan := d.selector.Plan(now, selector.Query{
-		Candidates: candidates,
-		Tried:      tried,
-		Repeatable: ex.repeatable(),
-		// The budget is that of all daemons and refills all the time: whether it was empty a
-		// moment ago says little about the time when this attempt fails. Without trials in the
-		// meantime, servers that have recovered stayed idle for over 2 s in simulations.
-		RetryBudgetLeft: true,
+		Candidates:      candidates,
+		Tried:           tried,
+		Repeatable:      ex.repeatable(),
+		RetryBudgetLeft: hasRetry,
 		LargeResponse:   d.responseSizes[ex.route.Name] > largeResponseSize,
 		Bytes:           d.bodySizes[ex.route.Name] + d.responseSizes[ex.route.Name],
 		Search:          search,
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -138,7 +138,7 @@
 		Candidates:      sim.candidates(now, r.kind.Service, r.ingress),
 		Tried:           r.tried,
 		Repeatable:      r.repeatable(),
-		RetryBudgetLeft: true, // as in the dispatcher
+		RetryBudgetLeft: true, // the owner's pool is not known to an ingress here
 		Bytes:           float64(r.kind.Body + r.kind.Response),
 		LargeResponse:   r.kind.Response > largeResponse,
 		Search:          r.search,
