Review: both sides of a partition keep a customer's rate

Cause: an owner that the store does not answer stays in touch as long as one host of each zone answers it, since that host counts for its whole zone.

--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -77,7 +77,8 @@
 // Host is one host: a backend server and the daemon beside it.
 type Host struct {
 	Name     string
-	IP       string
+	IP       string // by which other hosts know it
+	own      string // on which its daemon listens; another one where there are links
 	Zone     string
 	Service  string
 	Server   *Server
@@ -97,13 +98,15 @@
 	callerPort   int
 	memory       string
 	version      uint64
-	stop         chan struct{}
+	links        *links // nil if the hosts reach each other directly
+	proxies      []net.Listener
 }
 
 // Options describe a deployment.
 type Options struct {
 	Record *Record
 	Memory string // of a daemon, as its settings have it; "284MiB" by default
+	Links  bool   // the ways between hosts, and to the store, can be cut
 }
 
 // New starts the store of a deployment without hosts.
@@ -112,7 +115,10 @@
 	if err != nil {
 		Abort(err)
 	}
-	d := &Deployment{Record: options.Record, folder: folder, memory: options.Memory, stop: make(chan struct{})}
+	d := &Deployment{Record: options.Record, folder: folder, memory: options.Memory}
+	if options.Links {
+		d.links = &links{cut: map[[2]string]bool{}}
+	}
 	if d.memory == "" {
 		d.memory = "284MiB"
 	}
@@ -135,6 +141,7 @@
 	portOperator
 	portReadiness
 	portServer
+	portStore // of the way to the store
 	portCount
 )
 
@@ -172,7 +179,17 @@
 func (d *Deployment) AddHost(zone, service string, server *Server) *Host {
 	block := strings.Split(d.storeAddress, ".")[1]
 	h := &Host{Name: fmt.Sprintf("host-%d", len(d.Hosts)), IP: fmt.Sprintf("127.%s.2.%d", block, 10+len(d.Hosts)), Zone: zone, Service: service, Server: server}
-	server.Address, server.Zone, server.Service = d.address(h, portServer), zone, service
+	h.own = h.IP
+	storeAddress := d.storeAddress
+	if d.links != nil {
+		h.own = strings.Replace(h.IP, ".2.", ".3.", 1)
+		storeAddress = fmt.Sprintf("%s:%d", h.own, d.callerPort+portStore)
+		d.addLink(h, storeAddress, d.storeAddress, true)
+		for _, port := range []int{portData, portPeer} {
+			d.addLink(h, fmt.Sprintf("%s:%d", h.IP, d.callerPort+port), d.address(h, port), false)
+		}
+	}
+	server.Address, server.Zone, server.Service = fmt.Sprintf("%s:%d", h.IP, d.callerPort+portServer), zone, service
 	server.Name = h.Name
 	server.deployment = d
 	var err error
@@ -192,7 +209,7 @@
 		"readiness-address": d.address(h, portReadiness),
 		"peer-address":      d.address(h, portPeer),
 		"operator-address":  d.address(h, portOperator),
-		"store":             d.storeAddress,
+		"store":             storeAddress,
 		"secret":            "coltsfootflow/" + d.storeAddress,
 		"retry-share":       0.2,
 		"retry-slack":       62,
@@ -216,8 +233,18 @@
 	return h
 }
 
+func (d *Deployment) addLink(h *Host, address, target string, toStore bool) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		d.Close()
+		Abort(err)
+	}
+	d.proxies = append(d.proxies, listener)
+	go d.links.forward(listener, h.IP, target, toStore)
+}
+
 func (d *Deployment) address(h *Host, port int) string {
-	return fmt.Sprintf("%s:%d", h.IP, d.callerPort+port)
+	return fmt.Sprintf("%s:%d", h.own, d.callerPort+port)
 }
 
 // CallerAddress is where callers of a host send their requests.
@@ -296,7 +323,9 @@
 
 // Close ends everything that the deployment has started.
 func (d *Deployment) Close() {
-	close(d.stop)
+	for _, proxy := range d.proxies {
+		_ = proxy.Close()
+	}
 	for _, h := range d.Hosts {
 		if h.process != nil && h.process.Process != nil {
 			_ = h.process.Process.Kill()
@@ -327,6 +356,7 @@
 	server    *http.Server
 	coldUntil time.Time
 	entry     flow.ServerEntry
+	cutOff    bool // it does not reach the store
 	stop      chan struct{}
 }
 
@@ -372,6 +402,26 @@
 	return max(time.Until(s.coldUntil), 0)
 }
 
+// SetCutOff partitions the server from the store, or ends that. Its entry is removed after
+// three heartbeats of silence.
+func (s *Server) SetCutOff(cutOff bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff = cutOff
+	if !cutOff {
+		return
+	}
+	time.AfterFunc(3*Heartbeat, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cutOff {
+			s.entry = flow.ServerEntry{}
+			s.deployment.Store.DeleteServer(s.ID)
+			s.deployment.Record.Logf("store: the entry of %s is removed", s.ID)
+		}
+	})
+}
+
 // beat writes to the store every Heartbeat. The entry changes when more than the sequence
 // number would change.
 func (s *Server) beat(stop <-chan struct{}) {
@@ -391,6 +441,9 @@
 	cold := s.ColdFor().Round(time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.cutOff {
+		return
+	}
 	host, _, _ := net.SplitHostPort(s.Address)
 	entry := flow.ServerEntry{ID: s.ID, Service: s.Service, Address: s.Address, Host: host, Zone: s.Zone, Slots: s.Slots, StartedUnixMs: s.born, ColdRemaining: cold}
 	if entry == s.entry {
