--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,8 +1,8 @@
 //go:build review
 
 // Some servers of a service fail part of their bookings after they have run them, with a 503
-// that doesn't bear X-Coltsfootflow-Not-Executed. The caller acts on what a 503 promises: it
-// books once more, in a new attempt.
+// without the header that marks requests that were not run. The caller acts on what a 503
+// promises: it books once more, in a new attempt.
 package main
 
 import (
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 	"github.com/coltsfootflow/coltsfootflow/platform"
 	"github.com/coltsfootflow/coltsfootflow/platform/emulator"
+	names "github.com/coltsfootflow/coltsfootflow/review/fleet/platform"
 )
 
 // Exit codes of a script.
@@ -303,7 +304,7 @@
 
 func (d *Deployment) ready(h *Host) bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + d.address(h, portReadiness) + "/api/ready")
+	response, err := client.Get("http://" + d.address(h, portReadiness) + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -459,7 +460,7 @@
 	if r.URL.Path == "/health" {
 		w.Header().Set(Names.ServerID, s.ID)
 		if cold := s.ColdFor(); cold > 0 {
-			w.Header().Set("X-Coltsfootflow-Cold-Ms", fmt.Sprint(cold.Milliseconds()))
+			w.Header().Set(names.ColdHeader, fmt.Sprint(cold.Milliseconds()))
 		}
 		return
 	}
