A server's 503 for a booking that ran does not reach its caller

Cause: the daemon beside the server counts a response as "not run" only if the server states so, and reported this one as a response; the ingress sent it nowhere else, and passed it on with its status. Ruled out by the logs of the attempts: a second send (offers 1, reached 1), a response taken for a refusal (cause "status 503"). Change: the ingress answers 502 run-uncertain, without the server's seal, where the status promises "not run" and the request may run only once. Idempotent requests get the server's status, body and seal as before. Why here: only the ingress knows the kind of the request for certain, and whose caller it is.

--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -58,6 +58,10 @@
 		}
 	}
 	if last.response != nil {
+		if refusal := d.checkStatus(ex, last.response); refusal != nil {
+			discard(last.response)
+			return refusal
+		}
 		ex.response = last.response
 		return nil
 	}
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -40,6 +40,7 @@
 	refuse   flow.Reason // of a refused offer; "" grants the offer
 	fail     flow.Reason // of a failed run; "" responds
 	status   int         // of the response; 0 means 200
+	header   http.Header // of the response; may be nil
 	truncate bool        // the response body is truncated
 	hang     bool        // the run lasts until its context ends
 	wait     bool        // the request waits for a slot until its context ends
@@ -109,7 +110,7 @@
 	case s.fail != "":
 		return nil, &flow.Refusal{Reason: s.fail, Detail: "failed"}
 	}
-	answer := &transporter.Answer{Status: http.StatusOK, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(string(body)))}
+	answer := &transporter.Answer{Status: http.StatusOK, Header: s.header.Clone(), Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(string(body)))}
 	if s.status != 0 {
 		answer.Status = s.status
 	}
@@ -197,7 +198,7 @@
 	}
 	f.catalog.Store(cataloger.Build(5, &flow.Configuration{
 		Version:   3,
-		Routes:    []flow.RouteRule{route("read", "/read/", true, false), route("book", "/book/", false, false), route("call", "/call/", true, true)},
+		Routes:    []flow.RouteRule{route("read", "/read/", true, false), route("book", "/book/", false, false), route("call", "/call/", true, true), route("enter", "/enter/", false, true)},
 		Customers: []flow.CustomerRule{{Name: "shop", Keys: []string{"k"}, Priority: -1, PerSecond: 5}},
 	}, servers, nil))
 	f.Dispatcher = dispatcher.New(dispatcher.Parts{
--- a/pkg/flow/outcome.go
+++ b/pkg/flow/outcome.go
@@ -62,6 +62,7 @@
 	ReasonUnreachable            Reason = "unreachable"
 	ReasonServerShed             Reason = "server-shed"
 	ReasonServerFailed           Reason = "server-failed"
+	ReasonRunUncertain           Reason = "run-uncertain"
 	ReasonAnswerShort            Reason = "answer-short"
 	ReasonAnswerForeign          Reason = "answer-foreign"
 	ReasonTimeout                Reason = "timeout"
@@ -126,6 +127,7 @@
 	{ReasonCancelled, http.StatusServiceUnavailable, OutcomeNotRun, "The request was cancelled before it ran", "Repeat the request."},
 	{ReasonServerShed, http.StatusServiceUnavailable, OutcomeNotRun, "The backend server turned the request away", "Repeat after the time in Retry-After."},
 	{ReasonServerFailed, http.StatusBadGateway, OutcomeUnknown, "The connection to the backend server failed", "Look up the state before repeating a request that is not idempotent."},
+	{ReasonRunUncertain, http.StatusBadGateway, OutcomeUnknown, "The backend server turned the request away and may have run it", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonAnswerShort, http.StatusBadGateway, OutcomeUnknown, "The backend server's answer was cut short", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonAnswerForeign, http.StatusBadGateway, OutcomeUnknown, "The backend server answered another request", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonTimeout, http.StatusGatewayTimeout, OutcomeUnknown, "The answer did not come in time", "Look up the state before repeating a request that is not idempotent."},
