A reset during an upload does not look like the end of the answer

Seen: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset; the client got the part as a complete answer. Cause: the kernel reports a reset to one call. The write of the upload got ECONNRESET, and the read beside it found the end of the stream, which ends a body without a length. Change: sealer.Conn ends a stream only if no write has failed because the connection broke. A write that took the reset has got its error by the time the read returns, and holds the lock until it has recorded it, so nothing has to be waited for; a write that waits for the peer is ended. EPIPE comes after the end of the stream, so it is no reset.

--- a/internal/connection/sealer/sealer.go
+++ b/internal/connection/sealer/sealer.go
@@ -10,9 +10,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -32,8 +36,9 @@
 	attempts      int   // that have obtained the connection
 	attributed    int   // attempts whose response was recorded as their own
 	sealed        bool
-	closedByPeer  bool // the peer closed or reset the connection
-	closeExpected bool // the peer announced that it would close the connection
+	closedByPeer  bool  // the peer closed or reset the connection
+	broken        error // of the first write that failed because the connection broke
+	closeExpected bool  // the peer announced that it would close the connection
 }
 
 // SetReadBuffer sets the size in bytes of the kernel's buffer for what was not read yet, if
@@ -51,9 +56,13 @@
 	return &Conn{Conn: conn, onClose: onClose}
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the peer has ended the stream, so that
+// the end of the connection may be the end of a body.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endOfStream()
+	}
 	if isClosedByPeer(err) {
 		c.mu.Lock()
 		c.closedByPeer = true
@@ -62,6 +71,25 @@
 	return n, err
 }
 
+// endOfStream returns the error of a read that has found the end of the stream. The kernel
+// reports a reset to one call only: if that is a write, the read beside it finds the same end as
+// after a close by the peer. The write has then got its error, but may not have returned yet.
+func (c *Conn) endOfStream() error {
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // a write that waits for a peer without an end would hold the lock
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return c.broken
+	}
+	return io.EOF
+}
+
+// isBroken reports whether the error of a write means that the connection broke. After EPIPE it
+// need not have: the peer has ended its stream before it refused to read on.
+func isBroken(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isClosedByPeer reports whether an error of a connection means that the peer closed or
 // reset it.
 func isClosedByPeer(err error) bool {
@@ -96,6 +124,9 @@
 	n, err := c.Conn.Write(b)
 	c.written += int64(n)
 	c.closedByPeer = c.closedByPeer || isClosedByPeer(err)
+	if c.broken == nil && isBroken(err) {
+		c.broken = err
+	}
 	return n, err
 }
 
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -142,7 +142,7 @@
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if err != nil {
-		return "", &flow.Refusal{Reason: flow.ReasonAnswerShort}
+		return "", &flow.Refusal{Reason: flow.ReasonAnswerShort, Detail: err.Error()}
 	}
 	return fmt.Sprint(response.Status, " ", string(body)), nil
 }
--- a/internal/standin/caller/client.go
+++ b/internal/standin/caller/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/httpdialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/server"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -46,7 +47,7 @@
 	return &client{
 		timeout: options.Timeout,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: options.Timeout}).DialContext,
+			DialContext:         httpdialer.New(options.Timeout, &net.Dialer{}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
