Answers whose head is malformed are refused wherever answers are read

Seen: answers with status 600 or 999, or with a blank in the name of a field, were passed on; where the name was that of the length, the coding or the encoding, with a body that was not the server's. Cause: net/textproto keeps a name with a blank without an error, so net/http does not see what the field gives; any three digits are a status. Change: package validator has a round tripper that refuses such answers (heads, interim heads, trailers) and closes their connections; it is used for servers, health checks, daemons, the store, the own platform and the stand-ins. New reason answer-malformed (502, unknown). Tests changed: the forwarder's case of a 101 asked for an empty answer. A 101 to a request that did not ask for it is no answer, so it asks for a refusal.

--- a/cmd/coltsfootflow/status.go
+++ b/cmd/coltsfootflow/status.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/commander"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/controller"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/reporter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
@@ -71,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := validator.DefaultClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/commander"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/launcher"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -136,7 +137,7 @@
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	response, err := validator.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/experimenter/observer.go
+++ b/internal/experimenter/observer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/controller"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/reporter"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/launcher"
@@ -41,7 +42,7 @@
 }
 
 func startObserver(ctx context.Context, t *trace, fleet *launcher.Fleet) *observer {
-	o := &observer{trace: t, client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{}}}
+	o := &observer{trace: t, client: &http.Client{Timeout: pollTimeout, Transport: &validator.Transport{Base: &http.Transport{}}}}
 	for _, d := range fleet.Daemons {
 		daemon := daemonObserver{observer: o, host: d.Host, url: "http://" + d.Addresses.Operator + reporter.PathStatus}
 		o.goroutines.Go(func() { daemon.run(ctx) })
--- a/internal/process/reader/client.go
+++ b/internal/process/reader/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -60,10 +61,10 @@
 	return &Client{
 		URLs: urls,
 		HTTP: &http.Client{
-			Transport: &http.Transport{
+			Transport: &validator.Transport{Base: &http.Transport{
 				MaxIdleConnsPerHost: 2,
 				IdleConnTimeout:     time.Minute,
-			},
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/process/sender/sender.go
+++ b/internal/process/sender/sender.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/admitter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -20,7 +20,7 @@
 type Sender struct {
 	serverName string
 	clock      flow.Clock
-	transport  *http.Transport
+	transport  *validator.Transport
 
 	mu          sync.Mutex
 	server      flow.BackendServer
--- a/internal/process/sender/transport.go
+++ b/internal/process/sender/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -28,14 +29,14 @@
 	minOpenRetryDelay = time.Millisecond
 )
 
-func newTransport(s *Sender, slots int) *http.Transport {
-	return &http.Transport{
+func newTransport(s *Sender, slots int) *validator.Transport {
+	return &validator.Transport{Base: &http.Transport{
 		DialContext:            s.dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    slots,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // Send sends an admitted request and returns the response with its body unread. Once a
--- a/internal/request/acceptor/send.go
+++ b/internal/request/acceptor/send.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/sender"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
@@ -77,7 +78,7 @@
 	}
 	buffered, err := responder.ReadResponse(response, a.ResponseBuffer)
 	if err != nil {
-		verdict, reason := flow.VerdictFailed, flow.ReasonAnswerShort
+		verdict, reason := flow.VerdictFailed, validator.ReasonOf(err, flow.ReasonAnswerShort)
 		if ctx.Err() != nil {
 			verdict, reason = a.classifyContextEnd(ctx)
 		}
@@ -121,7 +122,7 @@
 	case ctx.Err() != nil:
 		return a.classifyContextEnd(ctx)
 	}
-	return flow.VerdictFailed, flow.ReasonServerFailed
+	return flow.VerdictFailed, validator.ReasonOf(err, flow.ReasonServerFailed)
 }
 
 // classifyContextEnd returns the verdict and the reason for a request that was
@@ -133,12 +134,9 @@
 	return flow.VerdictCancelled, flow.ReasonServerFailed
 }
 
-// checkResponse refuses a response that belongs to another request, one by which
-// the backend server sheds load, and one that switches protocols.
+// checkResponse refuses a response that belongs to another request, and one by which
+// the backend server sheds load.
 func (a *Acceptor) checkResponse(inbound *inboundRequest, ticket *sender.Ticket, response *http.Response) *flow.Refusal {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return a.newRefusal(flow.ReasonServerFailed, stepRespond, "the backend server switched protocols")
-	}
 	service, ok := a.Holder.Load().Index.Service(inbound.sender.Server().Service)
 	if !ok {
 		return nil
--- a/internal/request/dispatcher/attempt.go
+++ b/internal/request/dispatcher/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/selector"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/responder"
@@ -335,6 +336,12 @@
 	if response.Header == nil {
 		response.Header = http.Header{}
 	}
+	if err := validator.CheckFields(answer.Status, answer.Header); err != nil {
+		// A daemon of an earlier version passes such a response on.
+		_ = answer.Body.Close()
+		expiry.Cancel()
+		return attemptResult{refusal: d.newRefusal(flow.ReasonAnswerMalformed, stepDispatch, err.Error()), mayHaveRun: true, reachedServer: true}
+	}
 	if answer.Length > responder.BufferLimit || answer.Length < 0 || !d.Budget.Take(answer.Length, true) {
 		if answer.Length >= 0 {
 			if d.Catalog().HasRegions() {
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -296,6 +296,8 @@
 		"response truncated":                       {book, []*testServer{{truncate: true}, {truncate: true}}, 502, 1},
 		"server error":                             {book, []*testServer{{status: 500}, {status: 500}}, 500, 1},
 		"no response in time":                      {book, []*testServer{{hang: true}, {hang: true}}, 504, 1},
+		"status out of range":                      {book, []*testServer{{status: 600}, {status: 600}}, 502, 1},
+		"field name that is no token":              {book, []*testServer{{header: http.Header{"X Odd": {"1"}}}}, 502, 1},
 		"idempotent: response lost twice":          {read, []*testServer{{fail: flow.ReasonServerFailed}, {fail: flow.ReasonServerFailed}, {fail: flow.ReasonServerFailed}}, 502, 2},
 		"idempotent: failures use up the attempts": {read, []*testServer{{status: 500}, {status: 500}, {status: 500}}, 500, 2},
 		"idempotent: no server for the retry":      {read, []*testServer{{status: 500}}, 500, 1},
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -23,6 +23,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/httpdialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/estimator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/profiler"
@@ -83,7 +84,7 @@
 // Executor admits and runs requests. It is safe for concurrent use.
 type Executor struct {
 	Parts
-	transport *http.Transport
+	transport *validator.Transport
 
 	mu          sync.Mutex
 	scheduler   *scheduler.Scheduler
@@ -114,14 +115,14 @@
 func New(parts Parts) *Executor {
 	return &Executor{
 		Parts: parts,
-		transport: &http.Transport{
+		transport: &validator.Transport{Base: &http.Transport{
 			DialContext:         dialServer(httpdialer.New(dialTimeout, parts.Connector)),
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     idleTimeout,
 
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}},
 		scheduler: scheduler.New(1),
 		breaker:   estimator.NewBreaker(parts.Clock.Now()),
 		waiters:   map[uint64]waiter{},
--- a/internal/request/executor/send.go
+++ b/internal/request/executor/send.go
@@ -15,6 +15,7 @@
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/transporter"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/expirer"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/responder"
@@ -129,7 +130,7 @@
 	case unsent:
 		return e.failedOutcome(flow.VerdictFailed, flow.ReasonUnreachable, cause)
 	}
-	return e.outcomeOfIncompleteResponse(ctx, flow.ReasonServerFailed, cause)
+	return e.outcomeOfIncompleteResponse(ctx, validator.ReasonOf(cause, flow.ReasonServerFailed), cause)
 }
 
 // outcomeOfIncompleteResponse classifies a request that was sent and has no complete
@@ -149,7 +150,7 @@
 	if _, isNotRun := e.notRunOutcome(s, response, reused); isNotRun {
 		return false
 	}
-	return !slices.Equal(response.Header[e.Names.RequestID], []string{s.offer.ID}) || response.StatusCode < http.StatusOK
+	return !slices.Equal(response.Header[e.Names.RequestID], []string{s.offer.ID})
 }
 
 // collect checks and collects the response to a request. A successful one must not
@@ -171,7 +172,7 @@
 	answer, err := responder.ReadResponseHeld(response, responder.BufferLimit, func(bytes int64) bool { return e.Budget.Take(bytes, true) })
 	if err != nil {
 		e.Budget.Release(answer.Held)
-		out := e.outcomeOfIncompleteResponse(ctx, flow.ReasonAnswerShort, err)
+		out := e.outcomeOfIncompleteResponse(ctx, validator.ReasonOf(err, flow.ReasonAnswerShort), err)
 		expiry.Cancel()
 		return nil, out
 	}
--- a/internal/request/executor/unsent_test.go
+++ b/internal/request/executor/unsent_test.go
@@ -38,7 +38,7 @@
 		}
 		header.Set("Request-Id", request.Header.Get("Request-Id"))
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: 4, Body: io.NopCloser(strings.NewReader("good"))}, nil
+	return &http.Response{ProtoMajor: 1, ProtoMinor: 1, StatusCode: http.StatusOK, Header: header, ContentLength: 4, Body: io.NopCloser(strings.NewReader("good"))}, nil
 }
 
 // discardConn is a connection that discards what is written to it.
@@ -79,7 +79,7 @@
 				Clock: flow.NewMonotonicClock(), Catalog: func() *cataloger.Catalog { return catalog }, Observer: nullObserver{}, Log: logr.Discard(),
 			})
 			e.ApplyCatalog(catalog)
-			e.transport.RegisterProtocol("http", &surplusTransport{surplus: tc.surplus, conn: discardConn{}})
+			e.transport.Base = &surplusTransport{surplus: tc.surplus, conn: discardConn{}}
 			admitted, err := e.Admit(t.Context(), &transporter.Offer{ID: "id-1", Server: "server", TimeToTarget: time.Second, TimeLeft: 2 * time.Second}, func() {})
 			is.NoErr(err)
 			answer, err := admitted.Run(t.Context(), &transporter.Request{
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/dialer"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/messenger"
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/sealer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/registrar"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/timekeeper"
 	"github.com/coltsfootflow/coltsfootflow/internal/request/composer"
@@ -82,19 +83,19 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	Parts
-	transport *http.Transport
+	transport *validator.Transport
 }
 
 // New returns a Forwarder without connections.
 func New(parts Parts) *Forwarder {
 	f := &Forwarder{Parts: parts}
-	f.transport = &http.Transport{
+	f.transport = &validator.Transport{Base: &http.Transport{
 		DialContext:            f.dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: headerLimit,
-	}
+	}}
 	return f
 }
 
@@ -304,7 +305,7 @@
 	if expirer.Expired(ctx) {
 		return f.newRefusal(attempt, flow.ReasonTimeout, cause)
 	}
-	return f.newRefusal(attempt, flow.ReasonServerFailed, cause)
+	return f.newRefusal(attempt, validator.ReasonOf(cause, flow.ReasonServerFailed), cause)
 }
 
 // readResponse checks the voucher of a response and reads its body.
@@ -329,7 +330,7 @@
 		return result, f.newRefusal(attempt, flow.ReasonTimeout, err)
 	}
 	if err != nil {
-		return result, f.newRefusal(attempt, flow.ReasonAnswerShort, err)
+		return result, f.newRefusal(attempt, validator.ReasonOf(err, flow.ReasonAnswerShort), err)
 	}
 	return result, nil
 }
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -226,7 +226,19 @@
 		"headers over the limit":    {func(*testDaemon) []string { return []string{head, "X: ", strings.Repeat("x", 300<<10)} }, "", flow.ReasonServerFailed},
 		"switching protocols": {func(d *testDaemon) []string {
 			return []string{"HTTP/1.1 101 Up\r\n", d.voucher(own), "Upgrade: x\r\nConnection: upgrade\r\n\r\nhi"}
-		}, "", ""},
+		}, "", flow.ReasonAnswerMalformed},
+		"blank in the name of a field": {func(d *testDaemon) []string {
+			return []string{head, d.voucher(own), "X Odd: 1\r\nContent-Length: 2\r\n\r\nhi"}
+		}, "", flow.ReasonAnswerMalformed},
+		"blank after the name of the length": {func(d *testDaemon) []string {
+			return []string{head, d.voucher(own), "Content-Length : 2\r\n\r\nhi"}
+		}, "", flow.ReasonAnswerMalformed},
+		"blank in the trailer": {func(d *testDaemon) []string {
+			return []string{head, d.voucher(own), "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX Odd: 1\r\n\r\n"}
+		}, "", flow.ReasonAnswerMalformed},
+		"status 600": {func(d *testDaemon) []string {
+			return []string{"HTTP/1.1 600 Odd\r\n", d.voucher(own), "Content-Length: 2\r\n\r\nhi"}
+		}, "", flow.ReasonAnswerMalformed},
 		"informational response first": {func(d *testDaemon) []string {
 			return []string{"HTTP/1.1 103 Early\r\n\r\n", head, d.voucher(own), "Content-Length: 2\r\n\r\nhi"}
 		}, "hi", ""},
--- a/internal/request/responder/responder.go
+++ b/internal/request/responder/responder.go
@@ -143,6 +143,11 @@
 		_ = response.Body.Close()
 		return result, nil
 	}
+	if response.ContentLength < 0 && !response.ProtoAtLeast(1, 1) {
+		// net/http removes the field for a coding of the body from an answer of HTTP/1.0.
+		_ = response.Body.Close()
+		return result, Error.New("the end of the body is not marked")
+	}
 	result.Length = response.ContentLength
 	whole := min(int64(limit), max(response.ContentLength, 0))
 	sizes := []int64{whole}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -82,7 +82,7 @@
 		flow.ReasonLeaving, flow.ReasonEjected, flow.ReasonStopping,
 		flow.ReasonNoLease, flow.ReasonZoneOut, flow.ReasonPermitLate, flow.ReasonPermitInvalid:
 		return true
-	case flow.ReasonServerFailed, flow.ReasonAnswerShort, flow.ReasonAnswerForeign, flow.ReasonTimeout:
+	case flow.ReasonServerFailed, flow.ReasonAnswerShort, flow.ReasonAnswerForeign, flow.ReasonAnswerMalformed, flow.ReasonTimeout:
 		return true
 	}
 	return false
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
@@ -125,6 +126,9 @@
 // readResponse reads the response, and reports whether the connection can be used again.
 func (c *caller) readResponse(e *exchange, method string, reader *bufio.Reader) bool {
 	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err == nil {
+		err = validator.CheckHead(response)
+	}
 	if err != nil {
 		var timeout net.Error
 		e.connectionLost = !errors.As(err, &timeout) || !timeout.Timeout()
@@ -132,7 +136,7 @@
 	}
 	e.status = response.StatusCode
 	content, err := io.ReadAll(response.Body)
-	e.complete = err == nil
+	e.complete = err == nil && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0) // its end is marked
 	e.body = string(content)
 	if response.Header.Get(c.names.Seal) == "" && !strings.Contains(response.Header.Get("Content-Type"), "problem") {
 		e.body = "a response without a seal: " + e.body
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 	"github.com/coltsfootflow/coltsfootflow/platform"
 )
@@ -126,7 +127,7 @@
 }
 
 func isReady(ip string) bool {
-	client := http.Client{Timeout: time.Second}
+	client := http.Client{Timeout: time.Second, Transport: validator.DefaultClient.Transport}
 	response, err := client.Get("http://" + address(ip, portReadiness) + platform.ReadyPath)
 	if err != nil {
 		return false
--- a/internal/standin/caller/client.go
+++ b/internal/standin/caller/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/internal/connection/httpdialer"
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/standin/server"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -39,20 +40,20 @@
 
 // client is safe for concurrent use.
 type client struct {
-	transport *http.Transport
+	transport http.RoundTripper
 	timeout   time.Duration
 }
 
 func newClient(options Options) *client {
 	return &client{
 		timeout: options.Timeout,
-		transport: &http.Transport{
+		transport: &validator.Transport{Base: &http.Transport{
 			DialContext:         httpdialer.New(options.Timeout, &net.Dialer{}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 			DisableKeepAlives:   options.FreshConnections,
-		},
+		}},
 	}
 }
 
--- a/internal/standin/launcher/process.go
+++ b/internal/standin/launcher/process.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/controller"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/reporter"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/runner"
@@ -184,7 +185,7 @@
 	if err != nil {
 		return status, flow.Wrap("status", d.Host, err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := validator.DefaultClient.Do(request)
 	if err != nil {
 		return status, flow.Wrap("status", d.Host, err)
 	}
--- a/pkg/flow/outcome.go
+++ b/pkg/flow/outcome.go
@@ -65,6 +65,7 @@
 	ReasonRunUncertain           Reason = "run-uncertain"
 	ReasonAnswerShort            Reason = "answer-short"
 	ReasonAnswerForeign          Reason = "answer-foreign"
+	ReasonAnswerMalformed        Reason = "answer-malformed"
 	ReasonTimeout                Reason = "timeout"
 	ReasonIdempotencyKeyInvalid  Reason = "idempotency-key-invalid"
 	ReasonIdempotencyKeyRunning  Reason = "idempotency-key-running"
@@ -130,6 +131,7 @@
 	{ReasonRunUncertain, http.StatusBadGateway, OutcomeUnknown, "The backend server turned the request away and may have run it", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonAnswerShort, http.StatusBadGateway, OutcomeUnknown, "The backend server's answer was cut short", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonAnswerForeign, http.StatusBadGateway, OutcomeUnknown, "The backend server answered another request", "Look up the state before repeating a request that is not idempotent."},
+	{ReasonAnswerMalformed, http.StatusBadGateway, OutcomeUnknown, "The backend server's answer is malformed", "Look up the state before repeating a request that is not idempotent."},
 	{ReasonTimeout, http.StatusGatewayTimeout, OutcomeUnknown, "The answer did not come in time", "Look up the state before repeating a request that is not idempotent."},
 }
 
