Answers of the store and health answers are read to their end

Seen, in tests: a configuration was used from an answer of the store that broke off behind its document or went on with other bytes; a server counted as healthy by an answer that broke off. Cause: json.Decoder stops at the end of the document, and the health check discarded the error of reading its body. Change: validator.DecodeJSON asks for the end of the body; a health answer counts only if its body ends properly.

--- a/internal/connection/validator/validator_test.go
+++ b/internal/connection/validator/validator_test.go
@@ -105,3 +105,36 @@
 	content, err := io.ReadAll(response.Body)
 	return string(content), err
 }
+
+// TestDocumentEndsWithItsBody guards against a document that is used though its body was cut
+// or goes on behind it.
+func TestDocumentEndsWithItsBody(t *testing.T) {
+	cases := map[string]struct {
+		body io.Reader
+		ok   bool
+	}{
+		"one document":          {strings.NewReader(`{"a": 1}` + "\n"), true},
+		"cut in the document":   {strings.NewReader(`{"a": 1`), false},
+		"cut after it":          {io.MultiReader(strings.NewReader(`{"a": 1}`), brokenReader{}), false},
+		"two documents":         {strings.NewReader(`{"a": 1}{"a": 2}`), false},
+		"bytes after it":        {strings.NewReader(`{"a": 1}x`), false},
+		"the size of a chunk":   {strings.NewReader("8\r\n" + `{"a": 1}` + "\r\n0\r\n\r\n"), false},
+		"the end of the chunks": {strings.NewReader(`{"a": 1}` + "\r\n0\r\n\r\n"), false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var document struct{ A int }
+			err := validator.DecodeJSON(tc.body, &document)
+			is.Equal(err == nil, tc.ok)
+			if tc.ok {
+				is.Equal(document.A, 1)
+			}
+		})
+	}
+}
+
+// brokenReader is the rest of a body that was cut.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/process/reader/client.go
+++ b/internal/process/reader/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -119,7 +118,7 @@
 		return Page{}, fmt.Errorf("status %d", response.StatusCode)
 	}
 	var page Page
-	if err := json.NewDecoder(io.LimitReader(response.Body, bodyLimit)).Decode(&page); err != nil {
+	if err := validator.DecodeJSON(io.LimitReader(response.Body, bodyLimit), &page); err != nil {
 		return Page{}, fmt.Errorf("malformed page: %w", err)
 	}
 	return page, nil
--- a/internal/request/executor/health.go
+++ b/internal/request/executor/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -35,6 +36,8 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.CopyN(io.Discard, response.Body, maxHealthBytes)
+	if _, err := io.CopyN(io.Discard, response.Body, maxHealthBytes); err != nil && !errors.Is(err, io.EOF) {
+		return false
+	}
 	return response.StatusCode == http.StatusOK && response.Header.Get(e.Names.ServerID) == server
 }
--- a/internal/request/executor/health_test.go
+++ b/internal/request/executor/health_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestMalformedHealthAnswerIsNotHealthy guards against a server that counts as healthy by an
-// answer which is malformed.
+// answer which is malformed or broke off.
 func TestMalformedHealthAnswerIsNotHealthy(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nServer-Id: server\r\n"
 	cases := map[string]struct {
@@ -23,7 +23,10 @@
 		"of another server":         {"HTTP/1.1 200 OK\r\nServer-Id: other\r\nContent-Length: 0\r\n\r\n", false},
 		"blank in a name":           {head + "X Odd: 1\r\nContent-Length: 2\r\n\r\nok", false},
 		"blank after the length":    {head + "Content-Length : 2\r\n\r\nokCUT", false},
+		"blank in the trailer":      {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Odd: 1\r\n\r\n", false},
 		"blank in an interim head":  {"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", false},
+		"shorter than its length":   {head + "Content-Length: 9\r\n\r\nokCUT", false},
+		"without its last chunk":    {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nCUT", false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/standin/launcher/process.go
+++ b/internal/standin/launcher/process.go
@@ -190,5 +190,5 @@
 		return status, flow.Wrap("status", d.Host, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return status, flow.Wrap("status", d.Host, json.NewDecoder(response.Body).Decode(&status))
+	return status, flow.Wrap("status", d.Host, validator.DecodeJSON(response.Body, &status))
 }
