A body is not read as the next request behind a malformed head

Seen, in tests: a request with a blank in the name of a field was handled, and its body was read as the next request of the connection; so was what followed a request of HTTP/1.0 with chunks. Cause: http.ReadRequest keeps such a field under its odd name, and removes the coding of a request of HTTP/1.0. Change: names of fields are checked, with 400 and the end of the connection otherwise; a request of HTTP/1.0 is the last of its connection. Result: three new cases of TestUnreadableRequestIsRefused and TestBodyOfHTTP10IsNoRequest failed before; the package passes with -race.

--- a/internal/connection/pipeliner/pipeliner.go
+++ b/internal/connection/pipeliner/pipeliner.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/coltsfootflow/coltsfootflow/internal/connection/validator"
 	"github.com/coltsfootflow/coltsfootflow/internal/process/budgeter"
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
@@ -342,6 +343,12 @@
 	if err != nil {
 		return nil, c.headError(err)
 	}
+	if err := validator.CheckNames(request.Header); err != nil {
+		return nil, &statusError{http.StatusBadRequest, err}
+	}
+	if !request.ProtoAtLeast(1, 1) {
+		request.Close = true // net/http removes the field for a coding of the body, which may follow
+	}
 	request.RemoteAddr = c.raw.RemoteAddr().String()
 	in := &incoming{request: request, handle: c.server.Handle}
 	if err := c.readBody(in, int64(limits.BodyBytes)); err != nil {
--- a/internal/connection/pipeliner/pipeliner_test.go
+++ b/internal/connection/pipeliner/pipeliner_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,6 +134,9 @@
 		"head does not arrive in time": {"GET / HTTP/1.1\r\nHost: a\r\n", http.StatusRequestTimeout},
 		"body is too long":             {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n", http.StatusRequestEntityTooLarge},
 		"chunked body is too long":     {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"blank in a name":              {"GET / HTTP/1.1\r\nHost: a\r\nX Odd: 1\r\n\r\n", http.StatusBadRequest},
+		"blank after the length":       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc", http.StatusBadRequest},
+		"blank after the coding":       {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n1b\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
 		"two content lengths":          {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", http.StatusBadRequest},
 	}
 	for name, tc := range cases {
@@ -148,6 +152,23 @@
 	}
 }
 
+// TestBodyOfHTTP10IsNoRequest guards against a body that is read as the next request: net/http
+// removes the Transfer-Encoding of a request of HTTP/1.0 unseen.
+func TestBodyOfHTTP10IsNoRequest(t *testing.T) {
+	is := is.New(t)
+	var paths sync.Map
+	_, conn := serve(t, func(_ context.Context, r *http.Request, _ flow.Body) *http.Response {
+		paths.Store(r.URL.Path, true)
+		return okResponse("good")
+	}, flow.CallerLimits{})
+	fmt.Fprint(conn, "GET /first HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, _ = io.Copy(io.Discard, conn)
+	_, first := paths.Load("/first")
+	_, second := paths.Load("/second")
+	is.True(first)
+	is.True(!second)
+}
+
 // TestRequestWithIncompleteBodyIsNotHandled ends a request before its body is complete.
 func TestRequestWithIncompleteBodyIsNotHandled(t *testing.T) {
 	_, conn := serve(t, func(context.Context, *http.Request, flow.Body) *http.Response {
--- a/internal/connection/validator/validator.go
+++ b/internal/connection/validator/validator.go
@@ -19,8 +19,8 @@
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
 )
 
-// Error is the class of the errors of responses that are malformed.
-var Error = errs.Class("malformed answer")
+// Error is the class of the errors of messages that are malformed.
+var Error = errs.Class("malformed message")
 
 // ReasonOf returns the reason to refuse a request after an error of its response: that the
 // response is malformed, or the other one.
@@ -55,11 +55,11 @@
 	if status < minStatus || status > maxStatus {
 		return Error.New("status %03d", status)
 	}
-	return checkNames(header)
+	return CheckNames(header)
 }
 
-// checkNames checks that the names of fields are tokens.
-func checkNames(header map[string][]string) error {
+// CheckNames checks that the names of fields are tokens.
+func CheckNames(header map[string][]string) error {
 	for name := range header {
 		if !isToken(name) {
 			return Error.New("field name %q", name)
@@ -142,7 +142,7 @@
 	if e.interim++; e.interim > maxInterim {
 		return Error.New("more than %d interim responses", maxInterim)
 	}
-	return checkNames(header)
+	return CheckNames(header)
 }
 
 // closeConnection closes the connection. Where one message ends and the next begins on it is in
@@ -166,7 +166,7 @@
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if malformed := checkNames(b.response.Trailer); malformed != nil {
+		if malformed := CheckNames(b.response.Trailer); malformed != nil {
 			b.exchange.closeConnection()
 			return n, malformed
 		}
