Soak: servers that answer early and reset, promise falsely, or write malformed heads

Change: three more failure modes, uploads of 6 MiB, and a check that no 502 or 504 bears a server's mark. The check of true refusals leaves out a server's own status on an idempotent request: PROTOCOL has it returned unchanged, and REFUSED speaks of requests that are not idempotent (docs/incidents/status-that-promises.md).

--- a/internal/soaker/backend.go
+++ b/internal/soaker/backend.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,9 @@
 	modeTruncate      failureMode = "cut"   // responses end early
 	modeExtraResponse failureMode = "extra" // a second response follows the first
 	modeSlow          failureMode = "slow"
+	modePromise       failureMode = "promise"     // runs the request and answers as if it had not
+	modeMalformed     failureMode = "malformed"   // the name of the length holds a blank
+	modeEarlyReset    failureMode = "early-reset" // answers before it has read the body, and resets the connection
 )
 
 // run is one request that a backend server ran.
@@ -79,6 +83,7 @@
 	serviceTime     = 25 * time.Millisecond
 	slowServiceTime = 400 * time.Millisecond
 	hangTime        = 4 * time.Second
+	resetDelay      = 10 * time.Millisecond // between an early answer and the reset
 )
 
 func startBackend(names flow.HeaderNames, l *runLog, address, zone, service, id string) (*backend, error) {
@@ -148,7 +153,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if mode != modeEarlyReset {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	b.runs.add(run{
 		id: requestID, service: b.service, server: id, customer: r.Header.Get(b.names.Customer),
 		caller: r.Header.Get(b.names.CallerService), key: r.Header.Get(b.names.Key), at: time.Now(),
@@ -156,6 +163,9 @@
 	b.respond(w, r, mode)
 }
 
+// promiseStatuses are the statuses with which a server in modePromise fails.
+var promiseStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // respond ends a run according to the failure mode.
 func (b *backend) respond(w http.ResponseWriter, r *http.Request, mode failureMode) {
 	work := serviceTime
@@ -183,11 +193,32 @@
 		panic(http.ErrAbortHandler)
 	case modeExtraResponse:
 		b.respondTwice(w, r, body)
+	case modePromise:
+		w.WriteHeader(promiseStatuses[rand.IntN(len(promiseStatuses))])
+	case modeMalformed:
+		b.respondRaw(w, r, fmt.Sprintf("Content-Length : %d\r\n\r\n%s and more", len(body), body), false)
+	case modeEarlyReset:
+		b.respondRaw(w, r, "\r\n"+body[:len(body)/2], true)
 	default:
 		_, _ = io.WriteString(w, body)
 	}
 }
 
+// respondRaw sends the rest of a head and a body without a length, and closes or resets the
+// connection.
+func (b *backend) respondRaw(w http.ResponseWriter, r *http.Request, rest string, reset bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n%s", b.names.RequestID, r.Header.Get(b.names.RequestID), b.names.Seal, rest)
+	time.Sleep(resetDelay)
+	if socket, ok := conn.(*net.TCPConn); ok && reset {
+		_ = socket.SetLinger(0)
+	}
+}
+
 // respondTwice sends a second response after the first on the same connection.
 func (b *backend) respondTwice(w http.ResponseWriter, r *http.Request, body string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -31,6 +31,7 @@
 	ended          time.Time
 	status         int  // 0 if the connection ended without a response
 	complete       bool // the whole body arrived
+	sealed         bool // it bears the mark of a server
 	body           string
 	connectionLost bool // it ended for another reason than a timeout
 	requestSent    bool // the whole request was written
@@ -95,6 +96,12 @@
 	}
 }
 
+// uploadOneIn is the share of the requests that may run once whose body does not fit into the
+// buffers of a connection.
+const uploadOneIn = 50
+
+var upload = strings.Repeat("u", 6<<20)
+
 var routeNames = []string{"read", "book", "mixed"}
 
 // send sends one request and reads the response. It reports whether the connection can
@@ -112,6 +119,9 @@
 	method, body := http.MethodGet, ""
 	if e.atMostOnce {
 		method, body = http.MethodPost, "a booking"
+		if c.random.IntN(uploadOneIn) == 0 {
+			body = upload
+		}
 	}
 	_ = conn.SetDeadline(time.Now().Add(callerDeadline + time.Second))
 	_, err := fmt.Fprintf(conn, "%s /%s/x HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
@@ -134,11 +144,11 @@
 		e.connectionLost = !errors.As(err, &timeout) || !timeout.Timeout()
 		return false
 	}
-	e.status = response.StatusCode
+	e.status, e.sealed = response.StatusCode, response.Header.Get(c.names.Seal) != ""
 	content, err := io.ReadAll(response.Body)
 	e.complete = err == nil && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0) // its end is marked
 	e.body = string(content)
-	if response.Header.Get(c.names.Seal) == "" && !strings.Contains(response.Header.Get("Content-Type"), "problem") {
+	if !e.sealed && !strings.Contains(response.Header.Get("Content-Type"), "problem") {
 		e.body = "a response without a seal: " + e.body
 	}
 	return err == nil && !response.Close
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -58,9 +58,13 @@
 	if e.atMostOnce && len(runs) > 1 {
 		c.report("at-most-once", "%s ran %d times", e.id, len(runs))
 	}
-	if slices.Contains(notRunStatuses, e.status) && len(runs) > 0 {
+	// A server's own status is passed on unchanged, but for requests that may run once.
+	if slices.Contains(notRunStatuses, e.status) && len(runs) > 0 && (e.atMostOnce || !e.sealed) {
 		c.report("true-refusal", "%s was refused with %d at host %d and ran on %s", e.id, e.status, e.host, runs[0].server)
 	}
+	if e.sealed && (e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout) {
+		c.report("own-seal", "%s was answered %d with the mark of a server", e.id, e.status)
+	}
 	if e.status == http.StatusOK && e.complete && e.body != responseBody(e.id) {
 		c.report("whole-answer", "%s was answered %q", e.id, e.body)
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -91,7 +91,7 @@
 		}
 	}},
 	{"gray", func(injector *faultInjector, ctx context.Context, duration time.Duration, h int) {
-		modes := []failureMode{modeErrors, modeHang, modeReset, modeShed, modeTruncate, modeExtraResponse, modeSlow}
+		modes := []failureMode{modeErrors, modeHang, modeReset, modeShed, modeTruncate, modeExtraResponse, modeSlow, modePromise, modeMalformed, modeEarlyReset}
 		mode := modes[duration.Milliseconds()%int64(len(modes))]
 		injector.deployment.logf("host %d: backend server fails: %s", h, mode)
 		injector.deployment.hosts[h].backend.setMode(mode)
