--- a/internal/request/executor/reset_test.go
+++ b/internal/request/executor/reset_test.go
@@ -86,6 +86,7 @@
 				for range attempts {
 					offer := newOffer()
 					offer.Repeatable, offer.Forced = true, true // also once the server is suspected of failing
+					offer.TimeLeft = 20 * time.Second
 					got, refusal := f.runRequest(t.Context(), offer, &transporter.Request{
 						Method: http.MethodPost, Target: "/", Host: "a.example", Header: http.Header{headerNames.RequestID: {offer.ID}}, Body: upload,
 					})
