--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/coltsfootflow/coltsfootflow/pkg/flow"
+	"github.com/coltsfootflow/coltsfootflow/platform"
 	"github.com/coltsfootflow/coltsfootflow/platform/emulator"
 )
 
@@ -249,7 +250,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for _, h := range r.Hosts {
 		for {
-			response, err := client.Get("http://" + r.address(h.PrivateIP, portReady) + "/api/ready")
+			response, err := client.Get("http://" + r.address(h.PrivateIP, portReady) + platform.ReadyPath)
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
@@ -311,26 +312,21 @@
 }
 
 // Names of the platform's headers.
-const (
-	HeaderID       = "X-Coltsfootflow-Attempt-Id"
-	HeaderDeadline = "X-Coltsfootflow-Deadline-Ms"
-	HeaderKey      = "X-Coltsfootflow-Credential"
-	HeaderTenant   = "X-Coltsfootflow-Tenant"
-	HeaderExpect   = "X-Coltsfootflow-Expect-Instance"
-	HeaderInstance = "X-Coltsfootflow-Instance-Id"
-	HeaderNotRun   = "X-Coltsfootflow-Not-Executed"
-	HeaderSeal     = "X-Coltsfootflow-Server-Seal"
-	HeaderColdMs   = "X-Coltsfootflow-Cold-Ms"
+var (
+	HeaderID       = platform.HeaderNames.RequestID
+	HeaderDeadline = platform.HeaderNames.TimeLeft
+	HeaderKey      = platform.HeaderNames.Key
+	HeaderTenant   = platform.HeaderNames.Customer
+	HeaderExpect   = platform.HeaderNames.ExpectedServer
+	HeaderInstance = platform.HeaderNames.ServerID
+	HeaderSeal     = platform.HeaderNames.Seal
 )
 
 // Accept answers health checks, and requests that are for another server, as the pages say.
 // It reports whether the request is to be run.
-func Accept(w http.ResponseWriter, request *http.Request, h *Host, cold time.Duration) bool {
+func Accept(w http.ResponseWriter, request *http.Request, h *Host) bool {
 	w.Header().Set(HeaderInstance, h.Entry.ID)
 	if strings.HasPrefix(request.URL.Path, "/health") {
-		if cold > 0 {
-			w.Header().Set(HeaderColdMs, strconv.FormatInt(cold.Milliseconds(), 10))
-		}
 		return false
 	}
 	w.Header().Set(HeaderID, request.Header.Get(HeaderID))
