--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -85,6 +86,7 @@
 	Slots         int
 	Handler       func(h *Host) http.Handler // of the backend servers
 	Settings      map[string]any             // that differ from the usual ones
+	ServerWindow  int                        // bytes that the kernel takes for a server that doesn't read; 0 for its default
 }
 
 // Rig is a running deployment.
@@ -167,7 +169,7 @@
 	if err := r.proxyStore(h, store); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", r.ServerAddress(h))
+	listener, err := r.listenServer(h)
 	if err != nil {
 		return err
 	}
@@ -181,6 +183,21 @@
 	return r.writeSettings(h)
 }
 
+// listenServer listens at the address of a host's server. Its connections inherit the window.
+func (r *Rig) listenServer(h *Host) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		if r.ServerWindow == 0 {
+			return nil
+		}
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, r.ServerWindow)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	return config.Listen(context.Background(), "tcp", r.ServerAddress(h))
+}
+
 func (r *Rig) settingsPath(h *Host) string {
 	return filepath.Join(r.Folder, fmt.Sprintf("host-%d.hujson", h.Index))
 }
